directory_reader: of several writes of the routing in one answer, only the last counts

Cause: a watch that returns two writes of the routing (two changes within the pause between watches) merged the records of both. A route that only the first has stayed; one that the first changed and the second changed back kept the first's service, until the next write.

Ruled out: the merge of versions in Directory (an older version never replaces a newer one) and the exchange (both get the records as the reader made them).

Change: the newest document of an answer is decoded, the others are not.

--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -157,13 +157,9 @@
 
     fn changes(&self, part: Part, listing: Listing) -> Result<Vec<DirectoryRecord>, PlatformError> {
         if part == Part::Routing {
-            return match listing.objects.iter().any(|object| object.body.is_some()) {
-                true => {
-                    let version = listing.version;
-                    Ok(self.instance.differences(part, version, decode(part, listing)?))
-                }
-                false => Ok(Vec::new()),
-            };
+            let Some(newest) = newest_document(listing) else { return Ok(Vec::new()) };
+            let version = newest.version;
+            return Ok(self.instance.differences(part, version, decode(part, newest)?));
         }
         let mut records = Vec::new();
         for object in &listing.objects {
@@ -180,6 +176,14 @@
     }
 }
 
+/// Returns the newest of the changes to a document that is replaced as a whole: the others are no
+/// longer in force.
+fn newest_document(listing: Listing) -> Option<Listing> {
+    let written = listing.objects.into_iter().filter(|object| object.body.is_some());
+    let newest = written.max_by_key(|object| object.version)?;
+    Some(Listing { version: listing.version, objects: vec![newest] })
+}
+
 type Named = (smol_str::SmolStr, Version, RecordBody);
 
 fn decode(part: Part, listing: Listing) -> Result<Vec<Named>, PlatformError> {
