--- a/lib/src/config_gossip.rs
+++ b/lib/src/config_gossip.rs
@@ -11,7 +11,7 @@
 use crate::config::{Config, StoredRecord};
 use crate::config_digest::{leaf_of, FAN_OUT};
 use crate::config_message::{chunks, ConfigMessage, Leaf, Push, Summary, WireObject};
-use crate::config_tree::{children, Child};
+use crate::config_tree::{children, Child, TREE_FAN_OUT};
 use crate::ids::{DataCentreId, InstanceId, Version};
 use crate::platform::Object;
 use crate::random::Random;
@@ -240,7 +240,9 @@
         push: &Arc<Push>,
         above: &str,
     ) -> Vec<Outgoing> {
-        let below = children(view, Some(&self.data_centre), &push.root, push.number, above);
+        let (data_centre, number) =
+            (Some(self.data_centre.as_str()), (push.root.as_str(), push.number));
+        let below = children(view, data_centre, number, TREE_FAN_OUT, above);
         let mut outgoing = Vec::new();
         for child in below {
             outgoing.push((child.peer, ConfigMessage::Push(Push::clone(push))));
--- a/lib/src/config_tree.rs
+++ b/lib/src/config_tree.rs
@@ -19,12 +19,13 @@
 }
 
 /// Returns the instances to which `me` passes on push `number` of `root`, among those of a data
-/// centre or of all. Instances with the same view agree on the tree; other numbers give other trees.
+/// centre or of all, at most `fan_out` of them. Instances with the same view agree on the tree;
+/// other numbers give other trees.
 pub fn children(
     view: &View,
     data_centre: Option<&str>,
-    root: &str,
-    number: u64,
+    (root, number): (&str, u64),
+    fan_out: usize,
     me: &str,
 ) -> Vec<Child> {
     let is_within = |member: &&Member| data_centre.is_none_or(|it| member.data_centre == it);
@@ -37,7 +38,7 @@
         order.iter().position(|member| member.id == me).map(|index| index + 1)
     };
     let Some(position) = position else { return Vec::new() };
-    let first = position * TREE_FAN_OUT;
-    let children = order.iter().skip(first).take(TREE_FAN_OUT);
+    let first = position * fan_out;
+    let children = order.iter().skip(first).take(fan_out);
     children.map(|member| Child { id: member.id.clone(), peer: member.peer }).collect()
 }
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -16,15 +16,16 @@
 use crate::cookie_door::{CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, DueCheck};
 use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
-use crate::directory_exchange::{DirectoryExchange, RecordsOutcome, Relay};
+use crate::directory_exchange::{DirectoryExchange, RecordsOutcome};
 use crate::directory_message::{DirectoryMessage, PartStatus, RecordsMessage};
-use crate::envelope::{EnvelopeError, PeerKey, Sealer};
+use crate::envelope::{EnvelopeError, PeerKey};
 use crate::gossip::{Gossip, GossipMessage, Outgoing};
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, Epoch, InstanceId, Version};
 use crate::message::{EpochNotice, Frame, Message};
 use crate::metrics::Metrics;
 use crate::network::Network;
+use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
 use crate::random::Random;
 use crate::reader_choice::{rank, ReaderChoice, FIRST_START_WAIT, READING_INTERVAL, START_WAIT};
@@ -32,9 +33,13 @@
 use crate::segment::{Segment, SegmentForm};
 use crate::view::{Member, MemberState, View};
 
-/// Datagrams of a change up to which a reader sends them to all instances itself; larger changes go
-/// down a tree, so that no instance sends more than a few times what it receives.
-const DIRECT_DATAGRAMS: usize = 1;
+/// Instances to which an instance passes on a change of several datagrams; few, since each costs the
+/// link as much as receiving the change.
+const TREE_FAN_OUT: usize = 2;
+/// One in this many questions for changes goes to the reader.
+const READER_PULL_SHARE: u64 = 3;
+/// Time between two clearings of what was removed long ago.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 /// Bytes a second of answers to instances that ask for the directory: a small part of the slowest
 /// link, since the answers wait in line with the callers' packets.
 const ANSWER_BYTES_PER_SECOND: u64 = 60_000;
@@ -57,6 +62,8 @@
     pub flow_port: u16,
     /// Keys of messages between instances; the first one seals.
     pub peer_keys: Vec<(u8, PeerKey)>,
+    /// Speed of the instance's link, in megabits a second.
+    pub link_mbps: f64,
     /// Addresses of instances to ask for others.
     pub seeds: Vec<SocketAddr>,
     /// Wire form of packets.
@@ -69,12 +76,22 @@
     pub peer_network: Arc<dyn Network>,
 }
 
+/// Who is told what an instance read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The other instances.
+    Others,
+    /// Nobody: a fresh instance read what the others know already.
+    Nobody,
+}
+
 /// What an instance knows from the store and from others.
 struct Knowledge {
     directory: Directory,
     exchange: DirectoryExchange,
     choice: ReaderChoice,
     told_reading: Option<Instant>,
+    forgotten_at: Option<Instant>,
 }
 
 /// One instance of the flow door with cookies.
@@ -86,11 +103,11 @@
     form: Arc<dyn SegmentForm>,
     random: Arc<dyn Random>,
     flow_network: Arc<dyn Network>,
-    peer_network: Arc<dyn Network>,
-    sealer: Sealer,
+    link: PeerLink,
     gossip: Mutex<Gossip>,
     knowledge: Mutex<Knowledge>,
     door: Mutex<CookieDoor>,
+    is_first_start: bool,
     is_leaving: AtomicBool,
     last_packet: Mutex<Instant>,
     decisions: DecisionLog,
@@ -122,12 +139,22 @@
         };
         let knowledge = Knowledge {
             directory: Directory::default(),
-            exchange: DirectoryExchange::new(setup.random.next()),
+            exchange: DirectoryExchange::new(id.clone(), setup.random.next()),
             choice: ReaderChoice::new(start_wait, now),
             told_reading: None,
+            forgotten_at: None,
         };
+        let metrics = Metrics::new();
+        let link = PeerLink::new(PeerLinkSetup {
+            id: id.clone(),
+            epoch: setup.epoch,
+            keys: setup.peer_keys,
+            network: setup.peer_network,
+            link_mbps: setup.link_mbps,
+            sent_bytes: metrics.control_bytes.clone(),
+        });
         Self {
-            sealer: Sealer::new(id.clone(), setup.epoch, setup.peer_keys),
+            link,
             id,
             data_centre,
             flow_port: setup.flow_port,
@@ -135,15 +162,15 @@
             form: setup.form,
             random: setup.random,
             flow_network: setup.flow_network,
-            peer_network: setup.peer_network,
             gossip: Mutex::new(gossip),
             knowledge: Mutex::new(knowledge),
             door: Mutex::new(CookieDoor::new(setup.door)),
+            is_first_start: setup.is_first_start,
             is_leaving: AtomicBool::new(false),
             last_packet: Mutex::new(now),
             decisions: DecisionLog::default(),
             answers: Mutex::new(ByteBudget::new(ANSWER_BYTES_PER_SECOND, ANSWER_BURST_BYTES)),
-            metrics: Metrics::new(),
+            metrics,
         }
     }
 
@@ -206,11 +233,7 @@
         let mut knowledge = self.knowledge.lock();
         let Knowledge { directory, exchange, .. } = &mut *knowledge;
         let Some(pull) = exchange.pull(directory, now) else { return };
-        if let Some(buf) = self.seal(Message::Directory(pull)) {
-            for seed in &self.seeds {
-                self.send_bytes(*seed, &buf);
-            }
-        }
+        self.link.send(self.seeds.iter().copied(), Message::Directory(pull));
     }
 
     /// Handles a datagram from the fabric.
@@ -252,7 +275,7 @@
 
     /// Handles a datagram from another instance.
     pub fn on_peer_datagram(&self, now: Instant, from: SocketAddr, buf: &[u8]) {
-        let (origin, body) = match self.sealer.open(buf) {
+        let (origin, body) = match self.link.open(buf) {
             Ok(opened) => opened,
             Err(err) => return self.refuse_datagram(from, &err),
         };
@@ -262,7 +285,7 @@
                 self.on_directory(now, &origin.sender, from, message);
             }
             Ok(Frame::Control(Message::EpochNotice(notice))) if notice.instance == self.id => {
-                self.sealer.raise_epoch(notice.known + 1);
+                self.link.raise_epoch(notice.known + 1);
                 self.gossip.lock().raise_epoch(notice.known);
             }
             Ok(_) => Metrics::count(&self.metrics.refused_datagrams, "unexpected"),
@@ -280,7 +303,7 @@
         let view = self.view();
         let confirmed = {
             let mut knowledge = self.knowledge.lock();
-            knowledge.directory.forget(now);
+            knowledge.forget(now);
             knowledge.directory.age(Part::Routing, now).and_then(|age| now.checked_sub(age))
         };
         let output = {
@@ -291,6 +314,8 @@
         };
         self.tell_conditions();
         self.tell_reading(now);
+        self.ask_for_missing(now);
+        self.link.send_waiting(now);
         if !self.has_directory() {
             self.ask_seeds(now);
         }
@@ -321,6 +346,16 @@
         knowledge.choice.should_list(knowledge.directory.is_complete(), now)
     }
 
+    /// Returns who is told what this instance reads before it follows the store: at the first start
+    /// of all, the others know nothing yet.
+    pub fn listing_audience(&self) -> Audience {
+        if self.is_first_start {
+            Audience::Others
+        } else {
+            Audience::Nobody
+        }
+    }
+
     /// Tells whether the instance is to begin to follow the store.
     pub fn should_read(&self, now: Instant) -> bool {
         let rank = self.rank();
@@ -369,13 +404,14 @@
         self.knowledge.lock().directory.removal(part, name, version)
     }
 
-    /// Takes what was read from the store and tells the other instances.
+    /// Takes what was read from the store, and tells it to an audience.
     pub fn publish(
         &self,
         part: Part,
         records: Vec<DirectoryRecord>,
         version: Version,
         confirmed: Instant,
+        audience: Audience,
     ) {
         let now = Instant::now();
         let messages = {
@@ -386,26 +422,37 @@
             directory.confirm(part, version, confirmed);
             if is_changed {
                 self.apply(directory, part, now);
+            }
+            if is_changed && audience == Audience::Others {
                 exchange.changes(directory, part, before, now)
             } else {
                 Vec::new()
             }
         };
-        if messages.len() <= DIRECT_DATAGRAMS {
-            messages.into_iter().for_each(|message| self.broadcast(message));
-        } else {
-            self.pass_on(&DirectoryExchange::send_down(&self.id, messages));
+        for message in messages {
+            if message.root.is_some() {
+                self.pass_on(message, now);
+            } else {
+                self.broadcast(DirectoryMessage::Records(message));
+            }
         }
     }
 
-    /// Sends records to the instances below this one in their tree.
-    fn pass_on(&self, relay: &Relay) {
-        let below = children(&self.view(), None, &relay.root, relay.number, &self.id);
-        for message in &relay.messages {
-            let Some(buf) = self.seal(Message::Directory(message.clone())) else { return };
-            for child in &below {
-                self.send_bytes(child.peer, &buf);
-            }
+    /// Sends a datagram of a change to the instances below this one in its tree.
+    fn pass_on(&self, message: RecordsMessage, now: Instant) {
+        let Some(root) = &message.root else { return };
+        let push = (root.as_str(), message.status.complete);
+        let below = children(&self.view(), None, push, TREE_FAN_OUT, &self.id);
+        let below = below.iter().map(|child| child.peer);
+        self.link.send_paced(below, records_message(message), now);
+    }
+
+    fn ask_for_missing(&self, now: Instant) {
+        let repairs = self.knowledge.lock().exchange.due_repairs(now);
+        for repair in repairs {
+            let (origin, batch) = repair.batch;
+            let question = DirectoryMessage::Missing { origin, batch, indexes: repair.missing };
+            self.send_to(repair.to, question);
         }
     }
 
@@ -491,6 +538,12 @@
                 };
                 self.send_answers(from, answers, now);
             }
+            DirectoryMessage::Missing { origin, batch, indexes } => {
+                let again = self.knowledge.lock().exchange.again(&(origin, batch), &indexes);
+                for message in again {
+                    self.link.send_paced([from], records_message(message), now);
+                }
+            }
             DirectoryMessage::Records(records) => self.on_records(now, sender, from, records),
             DirectoryMessage::Condition { target, condition } => {
                 let view = self.view();
@@ -501,14 +554,13 @@
     }
 
     /// Sends answers while their budget lasts; whoever gets none asks others or the store.
-    fn send_answers(&self, to: SocketAddr, answers: Vec<DirectoryMessage>, now: Instant) {
+    fn send_answers(&self, to: SocketAddr, answers: Vec<RecordsMessage>, now: Instant) {
         if !self.answers.lock().has_room(now) {
             return Metrics::count(&self.metrics.refused_datagrams, "answer_budget");
         }
         for answer in answers {
-            let Some(buf) = self.seal(Message::Directory(answer)) else { return };
-            self.answers.lock().spend(buf.len() as u64);
-            self.send_bytes(to, &buf);
+            self.answers.lock().spend(answer.wire_bytes());
+            self.link.send_paced([to], records_message(answer), now);
         }
     }
 
@@ -520,10 +572,11 @@
         records: RecordsMessage,
     ) {
         let part = records.part;
-        let (pull, relay) = {
+        let message = records.root.is_some().then(|| records.clone());
+        let (pull, is_passed_on) = {
             let mut knowledge = self.knowledge.lock();
             let Knowledge { directory, exchange, .. } = &mut *knowledge;
-            let received = exchange.on_records(directory, sender, records, now);
+            let received = exchange.on_records(directory, sender, from, records, now);
             let pull = match received.outcome {
                 RecordsOutcome::Unchanged => None,
                 RecordsOutcome::Behind => exchange.pull(directory, now),
@@ -532,13 +585,13 @@
                     None
                 }
             };
-            (pull, received.relay)
+            (pull, received.is_passed_on)
         };
         if let Some(pull) = pull {
-            self.send_to(from, pull);
+            self.send_pull(from, pull);
         }
-        if let Some(relay) = relay {
-            self.pass_on(&relay);
+        if let Some(message) = message.filter(|_| is_passed_on) {
+            self.pass_on(message, now);
         }
     }
 
@@ -558,7 +611,7 @@
             exchange.on_reading(directory, parts, now)
         };
         if let Some(pull) = answer {
-            self.send_to(from, pull);
+            self.send_pull(from, pull);
         }
     }
 
@@ -584,40 +637,30 @@
     }
 
     fn broadcast(&self, message: DirectoryMessage) {
-        let Some(buf) = self.seal(Message::Directory(message)) else { return };
-        for member in self.view().members().iter().filter(|member| member.id != self.id) {
-            self.send_bytes(member.peer, &buf);
-        }
+        self.link.broadcast(&self.view(), Message::Directory(message));
     }
 
-    fn send_bytes(&self, to: SocketAddr, buf: &[u8]) {
-        self.peer_network.send(to, buf);
-        self.metrics.control_bytes.inc_by(buf.len() as u64);
+    /// Asks the reader that told of a change, or mostly any other instance: those that have it are
+    /// many soon, and one that has run for long answers with less than a fresh reader.
+    fn send_pull(&self, reader: SocketAddr, pull: DirectoryMessage) {
+        let view = self.view();
+        let others: Vec<_> = view.members().iter().filter(|member| member.id != self.id).collect();
+        let is_for_reader = others.is_empty() || self.random.below(READER_PULL_SHARE) == 0;
+        let to = if is_for_reader {
+            reader
+        } else {
+            others[self.random.below(others.len() as u64) as usize].peer
+        };
+        self.send_to(to, pull);
     }
 
     fn send_to(&self, to: SocketAddr, message: DirectoryMessage) {
-        self.send(to, Message::Directory(message));
-    }
-
-    fn send(&self, to: SocketAddr, message: Message) {
-        if let Some(buf) = self.seal(message) {
-            self.send_bytes(to, &buf);
-        }
-    }
-
-    fn seal(&self, message: Message) -> Option<Vec<u8>> {
-        match Frame::Control(message).encode() {
-            Ok(body) => Some(self.sealer.seal(&body)),
-            Err(err) => {
-                log::error!("message not sent: {err}");
-                None
-            }
-        }
+        self.link.send([to], Message::Directory(message));
     }
 
     fn send_gossip(&self, outgoing: Vec<Outgoing>) {
         for (to, message) in outgoing {
-            self.send(to, Message::Gossip(message));
+            self.link.send([to], Message::Gossip(message));
         }
     }
 
@@ -626,11 +669,26 @@
         Metrics::count(&self.metrics.refused_datagrams, "envelope");
         if let EnvelopeError::Outdated { sender, known } = err {
             let notice = EpochNotice { instance: sender.clone(), known: *known };
-            self.send(from, Message::EpochNotice(notice));
+            self.link.send([from], Message::EpochNotice(notice));
         }
     }
 }
 
+impl Knowledge {
+    /// Forgets now and then what was removed long ago.
+    fn forget(&mut self, now: Instant) {
+        if self.forgotten_at.is_none_or(|at| now >= at + FORGET_INTERVAL) {
+            self.forgotten_at = Some(now);
+            self.directory.forget(now);
+            self.exchange.forget(now);
+        }
+    }
+}
+
+fn records_message(records: RecordsMessage) -> Message {
+    Message::Directory(DirectoryMessage::Records(records))
+}
+
 /// Names seeds by their addresses, since settings tell no names.
 fn listed(seeds: &[SocketAddr], me: SocketAddr) -> Vec<ListedInstance> {
     let others = seeds.iter().filter(|seed| **seed != me);
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -72,6 +72,14 @@
         after > 0 && after >= self.parts[part as usize].horizon
     }
 
+    /// Returns the version of the last change of a part up to a version, or the version from which on
+    /// changes are known. Nothing changed between that and `until`.
+    pub fn last_change(&self, part: Part, until: Version) -> Version {
+        let part = &self.parts[part as usize];
+        let versions = part.records.values().map(|stored| stored.version);
+        versions.filter(|version| *version <= until).fold(part.horizon, Version::max)
+    }
+
     /// Returns the records of a part that changed after a version.
     pub fn changes_after(&self, part: Part, after: Version) -> Vec<DirectoryRecord> {
         let records = self.parts[part as usize].records.iter();
@@ -152,12 +160,15 @@
         missing.map(removal).collect()
     }
 
-    /// Returns the record that says that the store no longer has an entry, whose last version it
-    /// tells.
+    /// Returns the record that says that the store no longer has an entry. `version` is that of the
+    /// removal, or the last one that the entry had.
     pub fn removal(&self, part: Part, name: &str, version: Version) -> DirectoryRecord {
-        let known = self.parts[part as usize].records.get(name);
+        let part = &self.parts[part as usize];
+        let known = part.records.get(name);
         let body = removed(known.and_then(|stored| stored.body.as_ref()));
-        let version = version.max(known.map_or(0, |stored| stored.version + 1));
+        let is_last = known.is_some_and(|stored| stored.version == version);
+        // The removal is news, so it came after all that is known.
+        let version = if is_last { part.complete.max(version) + 1 } else { version };
         DirectoryRecord { name: name.into(), version, body }
     }
 
--- a/lib/src/directory_exchange.rs
+++ b/lib/src/directory_exchange.rs
@@ -1,26 +1,29 @@
 //! Exchange of the directory between instances: a reader tells what it read, whoever is behind
 //! asks for the rest.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashSet;
 use crate::directory::Directory;
 use crate::directory_message::{
     DirectoryMessage, PartStatus, RecordsMessage, DATAGRAM_RECORD_BYTES,
 };
 use crate::ids::{InstanceId, Version};
+use crate::record_batch::{BatchId, RecordBatches, Repair, Taken};
 use crate::route::{DirectoryRecord, Part};
 
 /// Shortest time between two questions for what changed; a lost answer is asked for again then.
 pub const PULL_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which an instance that is behind waits for the change to come down the tree.
 pub const PULL_PATIENCE: Duration = Duration::from_millis(600);
-/// Changes whose datagrams have not all arrived and that are remembered.
-const MAX_OPEN_BATCHES: usize = 16;
+/// Changes that wait for an earlier one, at most.
+const MAX_EARLY: usize = 8;
 
 /// What the datagrams of one change have in common.
+#[derive(Clone, Debug)]
 struct Head {
     part: Part,
     from: Version,
@@ -28,32 +31,13 @@
     root: Option<InstanceId>,
 }
 
-/// Change whose datagrams have not all arrived.
-#[derive(Debug)]
-struct OpenBatch {
-    missing: Vec<u16>,
-    records: Vec<DirectoryRecord>,
-    since: Instant,
-}
-
-/// Records that go down a tree of instances.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Relay {
-    /// Reader at the root of the tree.
-    pub root: InstanceId,
-    /// Number of the push, which the tree is derived from.
-    pub number: u64,
-    /// Datagrams for each instance below.
-    pub messages: Vec<DirectoryMessage>,
-}
-
 /// What follows from a datagram of records.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Received {
     /// What became of the records.
     pub outcome: RecordsOutcome,
-    /// What is to be passed on.
-    pub relay: Option<Relay>,
+    /// Whether the datagram is to be passed on to the instances below in its tree.
+    pub is_passed_on: bool,
 }
 
 /// What became of a datagram of records.
@@ -70,17 +54,19 @@
 /// Exchange of the directory as one instance takes part in it.
 #[derive(Debug, Default)]
 pub struct DirectoryExchange {
+    me: InstanceId,
     next_batch: u64,
-    open: HashMap<(InstanceId, u64), OpenBatch>,
+    batches: RecordBatches,
+    early: Vec<(Head, Vec<DirectoryRecord>)>,
     pulled_at: Option<Instant>,
     behind_since: Option<Instant>,
 }
 
 impl DirectoryExchange {
-    /// Creates an exchange whose changes are numbered from `first_batch`, which differs between
-    /// runs of an instance.
-    pub fn new(first_batch: u64) -> Self {
-        Self { next_batch: first_batch, ..Self::default() }
+    /// Creates the exchange of an instance whose changes are numbered from `first_batch`, which
+    /// differs between its runs.
+    pub fn new(me: InstanceId, first_batch: u64) -> Self {
+        Self { me, next_batch: first_batch, ..Self::default() }
     }
 
     /// Returns the message by which a reader tells that it follows the store.
@@ -89,51 +75,51 @@
         DirectoryMessage::Reading { parts }
     }
 
-    /// Returns the datagrams that tell what changed in a part after a version, or the whole part
-    /// when not all that was removed since then is known.
+    /// Returns the datagrams that tell all instances what changed in a part after a version, or the
+    /// whole part when not all that was removed since then is known. Several datagrams go down the
+    /// tree of this instance.
     pub fn changes(
         &mut self,
         directory: &Directory,
         part: Part,
         after: Version,
         now: Instant,
-    ) -> Vec<DirectoryMessage> {
-        let after = if directory.has_history(part, after) { after } else { 0 };
-        let records = directory.changes_after(part, after);
-        let head = Head { part, from: after, status: status(directory, part, now), root: None };
-        self.datagrams(&head, records)
+    ) -> Vec<RecordsMessage> {
+        let root = Some(self.me.clone());
+        self.datagrams(directory, part, after, root, now)
     }
 
-    /// Marks datagrams of a change as going down the tree of `root`.
-    pub fn send_down(root: &InstanceId, mut messages: Vec<DirectoryMessage>) -> Relay {
-        let mut number = 0;
-        for message in &mut messages {
-            if let DirectoryMessage::Records(records) = message {
-                records.root = Some(root.clone());
-                number = records.status.complete;
-            }
-        }
-        Relay { root: root.clone(), number, messages }
-    }
-
-    fn datagrams(&mut self, head: &Head, records: Vec<DirectoryRecord>) -> Vec<DirectoryMessage> {
-        let chunks = split(records);
+    fn datagrams(
+        &mut self,
+        directory: &Directory,
+        part: Part,
+        after: Version,
+        root: Option<InstanceId>,
+        now: Instant,
+    ) -> Vec<RecordsMessage> {
+        let has_history = directory.has_history(part, after);
+        let from = if has_history { directory.last_change(part, after) } else { 0 };
+        let chunks = split(directory.changes_after(part, from));
+        let root = root.filter(|_| chunks.len() > 1);
+        let status = status(directory, part, now);
         let batch = self.next_batch;
         self.next_batch = self.next_batch.wrapping_add(1);
         let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
-        let message = |(index, records): (usize, Vec<DirectoryRecord>)| {
-            DirectoryMessage::Records(RecordsMessage {
-                part: head.part,
-                from: head.from,
-                status: head.status,
-                root: head.root.clone(),
-                batch,
-                index: u16::try_from(index).unwrap_or(u16::MAX),
-                count,
-                records,
-            })
+        let message = |(index, records)| RecordsMessage {
+            part,
+            from,
+            status,
+            root: root.clone(),
+            batch,
+            index,
+            count,
+            records,
         };
-        chunks.into_iter().enumerate().map(message).collect()
+        let messages: Vec<_> = (0..count).zip(chunks).map(message).collect();
+        if count > 1 {
+            self.batches.keep(&self.me, &messages, now);
+        }
+        messages
     }
 
     /// Returns the question for what changed, unless one was just sent.
@@ -151,10 +137,27 @@
         directory: &Directory,
         complete: &[Version],
         now: Instant,
-    ) -> Vec<DirectoryMessage> {
+    ) -> Vec<RecordsMessage> {
         let behind = Part::ALL.into_iter().zip(complete);
         let behind = behind.filter(|(part, known)| directory.complete(*part) > **known);
-        behind.flat_map(|(part, known)| self.changes(directory, part, *known, now)).collect()
+        let answer =
+            |(part, known): (Part, &Version)| self.datagrams(directory, part, *known, None, now);
+        behind.flat_map(answer).collect()
+    }
+
+    /// Returns the questions that are due for datagrams that were lost.
+    pub fn due_repairs(&mut self, now: Instant) -> Vec<Repair> {
+        self.batches.due_repairs(now)
+    }
+
+    /// Returns datagrams of a change again, as far as they are known.
+    pub fn again(&self, batch: &BatchId, indexes: &[u16]) -> Vec<RecordsMessage> {
+        self.batches.again(batch, indexes)
+    }
+
+    /// Forgets changes that nobody asks for any more.
+    pub fn forget(&mut self, now: Instant) {
+        self.batches.forget(now);
     }
 
     /// Takes the states that a reader told, and returns a question when this instance has been
@@ -167,7 +170,8 @@
     ) -> Option<DirectoryMessage> {
         let mut is_behind = false;
         for (part, status) in Part::ALL.into_iter().zip(parts) {
-            is_behind |= directory.complete(part) < status.complete;
+            let is_collecting = self.batches.is_collecting(part, now);
+            is_behind |= directory.complete(part) < status.changed && !is_collecting;
             confirm(directory, part, *status, now);
         }
         if !is_behind {
@@ -181,75 +185,79 @@
         self.pull(directory, now)
     }
 
-    /// Takes records. A change is merged as a whole and after those before it, since a version of
-    /// the routing must not come into force in part.
+    /// Takes a datagram of records that `sender` sent from the address `from`. A change is merged as
+    /// a whole and after those before it, since a version of the routing must not come into force
+    /// in part.
     pub fn on_records(
         &mut self,
         directory: &mut Directory,
-        from: &InstanceId,
+        sender: &InstanceId,
+        from: SocketAddr,
         message: RecordsMessage,
         now: Instant,
     ) -> Received {
-        let (part, status, root) = (message.part, message.status, message.root.clone());
-        let head = Head { part, from: message.from, status, root };
-        let Some(records) = self.collect(from, message, now) else {
-            return Received { outcome: RecordsOutcome::Unchanged, relay: None };
+        let head = Head {
+            part: message.part,
+            from: message.from,
+            status: message.status,
+            root: message.root.clone(),
+        };
+        let is_news = head.status.complete > directory.complete(head.part);
+        if message.count <= 1 {
+            let outcome = self.merge(directory, head, message.records, now);
+            return Received { outcome, is_passed_on: false };
+        }
+        let origin = head.root.clone().unwrap_or_else(|| sender.clone());
+        let taken = self.batches.take((origin, message.batch), message, from, now);
+        let is_passed_on = head.root.is_some() && is_news && taken != Taken::Known;
+        let outcome = match taken {
+            Taken::Whole(records) => self.merge(directory, head, records, now),
+            Taken::Known | Taken::New => RecordsOutcome::Unchanged,
         };
-        let is_news = head.status.complete > directory.complete(part);
-        let relay = head.root.clone().filter(|_| is_news).map(|root| Relay {
-            root,
-            number: head.status.complete,
-            messages: self.datagrams(&head, records.clone()),
-        });
-        Received { outcome: merge(directory, &head, records, now), relay }
+        Received { outcome, is_passed_on }
     }
 
-    /// Keeps a datagram, and returns the records of its change when none of them is missing.
-    fn collect(
+    /// Merges a change and those that waited for it; keeps it when an earlier one is missing.
+    fn merge(
         &mut self,
-        from: &InstanceId,
-        message: RecordsMessage,
+        directory: &mut Directory,
+        head: Head,
+        records: Vec<DirectoryRecord>,
         now: Instant,
-    ) -> Option<Vec<DirectoryRecord>> {
-        if message.count <= 1 {
-            return Some(message.records);
+    ) -> RecordsOutcome {
+        let part = head.part;
+        if head.from > directory.complete(part) {
+            self.early.truncate(MAX_EARLY - 1);
+            self.early.insert(0, (head, records));
+            let is_coming = self.batches.is_collecting(part, now);
+            return if is_coming { RecordsOutcome::Unchanged } else { RecordsOutcome::Behind };
         }
-        self.drop_oldest();
-        let key = (from.clone(), message.batch);
-        let fresh =
-            || OpenBatch { missing: (0..message.count).collect(), records: Vec::new(), since: now };
-        let open = self.open.entry(key.clone()).or_insert_with(fresh);
-        if open.missing.contains(&message.index) {
-            open.missing.retain(|missing| *missing != message.index);
-            open.records.extend(message.records);
+        let mut is_changed = merge_one(directory, &head, records, now);
+        while let Some(next) = self.early.iter().position(|(head, _)| is_next(directory, head)) {
+            let (head, records) = self.early.swap_remove(next);
+            is_changed |= merge_one(directory, &head, records, now);
         }
-        if !open.missing.is_empty() {
-            return None;
+        self.early.retain(|(head, _)| head.status.complete > directory.complete(head.part));
+        if is_changed {
+            RecordsOutcome::Changed
+        } else {
+            RecordsOutcome::Unchanged
         }
-        self.open.remove(&key).map(|open| open.records)
     }
+}
 
-    fn drop_oldest(&mut self) {
-        if self.open.len() <= MAX_OPEN_BATCHES {
-            return;
-        }
-        let oldest = self.open.iter().min_by_key(|(_, open)| open.since);
-        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
-            self.open.remove(&key);
-        }
-    }
+fn is_next(directory: &Directory, head: &Head) -> bool {
+    let complete = directory.complete(head.part);
+    head.from <= complete && head.status.complete > complete
 }
 
-fn merge(
+fn merge_one(
     directory: &mut Directory,
     head: &Head,
     mut records: Vec<DirectoryRecord>,
     now: Instant,
-) -> RecordsOutcome {
+) -> bool {
     let (part, status) = (head.part, head.status);
-    if head.from > directory.complete(part) {
-        return RecordsOutcome::Behind;
-    }
     if head.from == 0 {
         let names: HashSet<_> = records.iter().map(|record| record.name.clone()).collect();
         records.extend(directory.missing(part, status.complete, &names));
@@ -257,20 +265,17 @@
     let is_changed = directory.merge(part, records, now);
     let at = now.checked_sub(status.age).unwrap_or(now);
     directory.confirm(part, status.complete, at);
-    if is_changed {
-        RecordsOutcome::Changed
-    } else {
-        RecordsOutcome::Unchanged
-    }
+    is_changed
 }
 
 fn status(directory: &Directory, part: Part, now: Instant) -> PartStatus {
     let age = directory.age(part, now).unwrap_or(Duration::MAX / 4);
-    PartStatus { complete: directory.complete(part), age }
+    let complete = directory.complete(part);
+    PartStatus { complete, changed: directory.last_change(part, complete), age }
 }
 
 fn confirm(directory: &mut Directory, part: Part, status: PartStatus, now: Instant) {
-    let is_known = status.complete > 0 && directory.complete(part) >= status.complete;
+    let is_known = status.complete > 0 && directory.complete(part) >= status.changed;
     if let Some(at) = now.checked_sub(status.age).filter(|_| is_known) {
         directory.confirm(part, status.complete, at);
     }
--- a/lib/src/directory_message.rs
+++ b/lib/src/directory_message.rs
@@ -13,6 +13,8 @@
     pub struct PartStatus {
         /// Version up to which the part is complete.
         pub complete: Version,
+        /// Version of the last change, as far as the sender knows.
+        pub changed: Version,
         /// Time since the store confirmed it, in milliseconds on the wire.
         #[serde(with = "crate::millis")]
         pub age: Duration,
@@ -70,5 +72,22 @@
             /// Its condition.
             condition: TargetCondition,
         },
+        /// Asks for datagrams of a change that were lost.
+        Missing {
+            /// Instance that divided the change into datagrams.
+            origin: InstanceId,
+            /// Number of the change.
+            batch: u64,
+            /// Numbers of the datagrams.
+            indexes: Vec<u16>,
+        },
+    }
+}
+
+impl RecordsMessage {
+    /// Returns the size of the records on the wire, in bytes.
+    pub fn wire_bytes(&self) -> u64 {
+        let size = |record| postcard::experimental::serialized_size(record).unwrap_or_default();
+        self.records.iter().map(|record| size(record) as u64).sum()
     }
 }
--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::cookie_instance::CookieInstance;
+use crate::cookie_instance::{Audience, CookieInstance};
 use crate::http_call::nonsense;
 use crate::ids::Version;
 use crate::metrics::Metrics;
@@ -36,7 +36,7 @@
         tokio::time::sleep(pause).await;
         let now = Instant::now();
         let result = if instance.should_list(now) {
-            reader.list_all().await.map(|_| ())
+            reader.list_all(instance.listing_audience()).await.map(|_| ())
         } else if instance.should_read(now) {
             reader.read_until_stop().await
         } else {
@@ -80,7 +80,7 @@
     /// Reads everything and then what changes; returns only when the store fails.
     async fn read(&self) -> Result<(), PlatformError> {
         let has_lapsed = self.may_have_lapsed();
-        let [routing, targets, outages] = self.list_all().await?;
+        let [routing, targets, outages] = self.list_all(Audience::Others).await?;
         log::info!(version = targets; "following the store");
         self.instance.note_reading();
         tokio::try_join!(
@@ -93,13 +93,16 @@
     }
 
     /// Lists all parts, and returns the versions that they are complete up to.
-    async fn list_all(&self) -> Result<[Version; Part::ALL.len()], PlatformError> {
+    async fn list_all(
+        &self,
+        audience: Audience,
+    ) -> Result<[Version; Part::ALL.len()], PlatformError> {
         let has_lapsed = self.may_have_lapsed();
         // One call shows whether the store is there at all.
-        let outages = self.list(Part::Outages, false).await?;
+        let outages = self.list(Part::Outages, false, audience).await?;
         let (routing, targets) = tokio::try_join!(
-            self.list(Part::Routing, false),
-            self.list(Part::Targets, has_lapsed),
+            self.list(Part::Routing, false, audience),
+            self.list(Part::Targets, has_lapsed, audience),
         )?;
         Ok([routing, targets, outages])
     }
@@ -112,13 +115,18 @@
     async fn list_again(&self, has_lapsed: bool) -> Result<(), PlatformError> {
         if has_lapsed {
             tokio::time::sleep(RETURN_TIME).await;
-            self.list(Part::Targets, false).await?;
+            self.list(Part::Targets, false, Audience::Others).await?;
         }
         Ok(())
     }
 
     /// Lists a part and publishes the differences, but no removals when `keeps_missing`.
-    async fn list(&self, part: Part, keeps_missing: bool) -> Result<Version, PlatformError> {
+    async fn list(
+        &self,
+        part: Part,
+        keeps_missing: bool,
+        audience: Audience,
+    ) -> Result<Version, PlatformError> {
         let asked = Instant::now();
         let listing = self.platform.list(part.kind()).await?;
         Metrics::count(&self.instance.metrics.platform_calls, "listed");
@@ -128,7 +136,7 @@
         if keeps_missing {
             differences.retain(|record| !is_missing(record));
         }
-        self.instance.publish(part, differences, version, asked);
+        self.instance.publish(part, differences, version, asked, audience);
         Ok(version)
     }
 
@@ -140,7 +148,7 @@
             let changes = match result {
                 Err(PlatformError::Compacted) => {
                     log::warn!(part:? = part; "history is gone; listing again");
-                    version = self.list(part, false).await?;
+                    version = self.list(part, false, Audience::Others).await?;
                     continue;
                 }
                 result => result?,
@@ -150,7 +158,7 @@
             let is_quiet = changes.objects.is_empty();
             let records = self.changes(part, changes)?;
             let confirmed = if is_quiet { asked } else { Instant::now() };
-            self.instance.publish(part, records, version, confirmed);
+            self.instance.publish(part, records, version, confirmed, Audience::Others);
             tokio::time::sleep(pause(part)).await;
         }
     }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -194,7 +194,12 @@
     key: &'static str,
     address: SocketAddr,
 ) -> Result<UdpSocket, EntryError> {
-    UdpSocket::bind(address).await.map_err(|source| EntryError::Listen { key, address, source })
+    let unusable = |source| EntryError::Listen { key, address, source };
+    let socket = UdpSocket::bind(address).await.map_err(unusable)?;
+    // Nothing is sent before the runtime has seen the socket to be writable: the first datagrams
+    // would be dropped.
+    socket.writable().await.map_err(unusable)?;
+    Ok(socket)
 }
 
 pub(crate) async fn bind_tcp(
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -82,11 +82,13 @@
 pub mod network;
 pub mod outcome_bounds;
 pub mod owner;
+pub mod paced_sender;
 pub mod packet;
 #[allow(missing_docs, unused_parens, unused_qualifications)]
 #[allow(clippy::all, clippy::pedantic, clippy::restriction)]
 #[rustfmt::skip]
 mod peer_capnp;
+pub mod peer_link;
 pub mod peer_rpc;
 pub mod placement;
 pub mod plan;
@@ -98,6 +100,7 @@
 pub mod random;
 pub mod reader_choice;
 pub mod record;
+pub mod record_batch;
 pub mod record_map;
 pub mod replay;
 pub mod replay_callers;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -69,6 +69,10 @@
     pub flow: SocketAddr,
     /// Address for messages between instances.
     pub peer: SocketAddr,
+    /// Address at which other instances reach that one, where it differs.
+    pub peer_advertised: Option<SocketAddr>,
+    /// Speed of the instance's link, in megabits a second.
+    pub link_mbps: f64,
     /// Address of the request door.
     pub request: SocketAddr,
     /// Address of metrics, health and status.
@@ -241,6 +245,8 @@
             is_first_start: self.flag("instance", "first_start"),
             flow: self.address("listen", "flow"),
             peer: self.own_address("listen", "peer"),
+            peer_advertised: self.addresses("listen", "peer_advertised").first().copied(),
+            link_mbps: self.decimal("listen", "link_mbps"),
             request: self.ip_form_address("listen", "request", Self::own_address),
             admin: self.address("listen", "admin"),
             egress: self.ip_form_address("fabric", "egress", Self::address),
--- a/lib/src/settings_spec.rs
+++ b/lib/src/settings_spec.rs
@@ -70,6 +70,7 @@
 const WORKERS: ValueKind = ValueKind::Number { min: 1, max: 64 };
 const MILLISECONDS: ValueKind = ValueKind::Number { min: 0, max: 600_000 };
 const MULTIPLIER: ValueKind = ValueKind::Decimal { min: 0.0, max: 1_000.0 };
+const LINK: ValueKind = ValueKind::Decimal { min: 0.1, max: 400_000.0 };
 const FLOWS_A_SECOND: ValueKind = ValueKind::Number { min: 0, max: 1_000_000 };
 
 /// All settings, in the order of the documentation.
@@ -80,6 +81,8 @@
     spec("instance", "first_start", ValueKind::Flag, "", Some("false"), "Whether the whole deployment starts for the first time; then most instances wait to be told by others instead of asking the platform. With a form other than `ip`."),
     spec("listen", "flow", ValueKind::Address, "", Some("0.0.0.0:6080"), "Address of the flow door: IP packets in UDP."),
     spec("listen", "peer", ValueKind::Address, "", None, "Address for messages between instances: one of the instance's own IP numbers."),
+    spec("listen", "peer_advertised", ValueKind::Addresses, "", Some(""), "Address at which other instances reach `peer`, where something between them translates addresses; with a form other than `ip`."),
+    spec("listen", "link_mbps", LINK, "Mbit/s", Some("100"), "Speed of the instance's link; large changes between instances use at most half of it. With a form other than `ip`."),
     spec("listen", "request", ValueKind::Address, "", None, "Address of the request door, HTTP: one of the instance's own IP numbers. Not used with a form other than `ip`."),
     spec("listen", "admin", ValueKind::Address, "", Some("127.0.0.1:9100"), "Address of metrics, health and status."),
     spec("fabric", "egress", ValueKind::Address, "", None, "Address that takes packets for callers. Not used with a form other than `ip`."),
--- a/lib/tests/test_directory_exchange.rs
+++ b/lib/tests/test_directory_exchange.rs
@@ -1,16 +1,18 @@
 //! Exchange of the directory between instances, without a network.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use hollyhead::directory::Directory;
 use hollyhead::directory_exchange::DirectoryExchange;
-use hollyhead::directory_message::DirectoryMessage;
+use hollyhead::directory_message::{DirectoryMessage, RecordsMessage};
 use hollyhead::ids::Version;
 use hollyhead::route::{Part, RecordBody, Registration, RegistrationState, Route};
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+const PEER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 9)), 7_720);
+
 type Named = (SmolStr, Version, RecordBody);
 
 fn route(number: u16, version: Version) -> Named {
@@ -50,7 +52,7 @@
 
 impl Instance {
     /// Reads a listing from the store and returns what it tells the others.
-    fn list(&mut self, part: Part, version: Version, listed: Vec<Named>) -> Vec<DirectoryMessage> {
+    fn list(&mut self, part: Part, version: Version, listed: Vec<Named>) -> Vec<RecordsMessage> {
         let now = Instant::now();
         let before = self.directory.complete(part);
         let differences = self.directory.differences(part, version, listed);
@@ -59,10 +61,10 @@
         self.exchange.changes(&self.directory, part, before, now)
     }
 
-    fn receive(&mut self, from: &str, messages: Vec<DirectoryMessage>) {
+    fn receive(&mut self, from: &str, messages: Vec<RecordsMessage>) {
         for message in messages {
-            let DirectoryMessage::Records(records) = message else { panic!("records expected") };
-            self.exchange.on_records(&mut self.directory, &from.into(), records, Instant::now());
+            let (sender, now) = (from.into(), Instant::now());
+            self.exchange.on_records(&mut self.directory, &sender, PEER, message, now);
         }
     }
 
@@ -171,7 +173,7 @@
     assert!(lost.is_some() && !told.is_empty());
     peer.receive("reader", told);
 
-    let exchange = DirectoryExchange::new(1 << 32);
+    let exchange = DirectoryExchange::new("reader".into(), 1 << 32);
     let mut again = Instance { exchange, ..Instance::default() };
     let told = again.list(Part::Routing, 26, listing(100));
     let last = told.into_iter().last().into_iter().collect();
@@ -195,3 +197,59 @@
     behind.receive("reader", answer);
     assert_eq!(behind.names(Part::Routing), ["route/r0001"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn changes_after_a_time_without_any_need_no_question() {
+    let mut reader = Instance::default();
+    let mut peer = Instance::default();
+    peer.receive("reader", reader.list(Part::Routing, 22, vec![route(1, 10)]));
+    // Other parts change meanwhile, so the store's version rises.
+    reader.list(Part::Routing, 40, vec![route(1, 10)]);
+    let told = reader.list(Part::Routing, 41, vec![route(1, 10), route(2, 41)]);
+    peer.receive("reader", told);
+    assert_eq!(peer.names(Part::Routing), ["route/r0001", "route/r0002"]);
+    assert_eq!(peer.directory.complete(Part::Routing), 41);
+}
+
+#[tokio::test(start_paused = true)]
+async fn reading_after_a_time_without_changes_needs_no_question() {
+    let mut reader = Instance::default();
+    let mut peer = Instance::default();
+    for part in Part::ALL {
+        peer.receive("reader", reader.list(part, 22, Vec::new()));
+    }
+    reader.list(Part::Routing, 40, Vec::new());
+    for _ in 0..2 {
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let now = Instant::now();
+        let reading = DirectoryExchange::reading(&reader.directory, now);
+        let DirectoryMessage::Reading { parts } = reading else { panic!("reading expected") };
+        let question = peer.exchange.on_reading(&mut peer.directory, &parts, now);
+        assert_eq!(question, None);
+    }
+    assert_eq!(peer.directory.complete(Part::Routing), 40);
+}
+
+#[tokio::test(start_paused = true)]
+async fn removal_that_comes_after_a_newer_registration_is_ignored() {
+    let mut reader = Instance::default();
+    reader.list(Part::Targets, 58, vec![target("i-1", 58)]);
+    let removal = reader.directory.removal(Part::Targets, "i-1", 55);
+    reader.directory.merge(Part::Targets, vec![removal], Instant::now());
+    assert_eq!(reader.state_of("i-1"), Some(RegistrationState::Ready));
+}
+
+#[tokio::test(start_paused = true)]
+async fn removal_that_tells_the_last_version_reaches_the_others() {
+    let mut reader = Instance::default();
+    let mut peer = Instance::default();
+    peer.receive("reader", reader.list(Part::Targets, 50, vec![target("i-1", 10)]));
+    let before = reader.directory.complete(Part::Targets);
+    let now = Instant::now();
+    let removal = reader.directory.removal(Part::Targets, "i-1", 10);
+    reader.directory.merge(Part::Targets, vec![removal], now);
+    reader.directory.confirm(Part::Targets, 60, now);
+    let told = reader.exchange.changes(&reader.directory, Part::Targets, before, now);
+    peer.receive("reader", told);
+    assert_eq!(peer.state_of("i-1"), Some(RegistrationState::Gone));
+}
--- a/lib/tests/test_directory_reader.rs
+++ b/lib/tests/test_directory_reader.rs
@@ -137,6 +137,7 @@
         peer: address(7_720),
         flow_port: 8_172,
         peer_keys: vec![(0, [1; 32])],
+        link_mbps: 100.0,
         seeds: Vec::new(),
         form: Arc::new(NoForm),
         random,
--- /dev/null
+++ b/testutils/src/echo_target.rs
@@ -0,0 +1,382 @@
+//! A target of the users' platform: flows over datagrams, health answers over TCP, and a
+//! registration in the store.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use parking_lot::Mutex;
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::echo_packet::{EchoPacket, ACK, RST, SYN};
+use crate::flow_end::{FlowEnd, OutgoingSegment};
+use crate::flow_message::{AttemptId, FlowRequest};
+use crate::object_store::ObjectStore;
+
+/// Time between two entries in the store.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const TICK: Duration = Duration::from_millis(5);
+const TOKEN_BYTES: usize = 8;
+const DATAGRAM_BYTES: usize = 2_048;
+
+/// The two ends of a flow: caller and service.
+pub type FlowEnds = (SocketAddrV4, SocketAddrV4);
+
+/// What a target saw.
+#[derive(Clone, Debug)]
+pub enum TargetEvent {
+    /// A flow opened.
+    Opened {
+        /// Flow.
+        flow: FlowEnds,
+        /// Target.
+        target: SmolStr,
+        /// Instance that forwarded the opening packet.
+        via: Ipv4Addr,
+        /// When the opening packet came.
+        at: Instant,
+    },
+    /// A request began to run.
+    Ran {
+        /// Request.
+        id: AttemptId,
+        /// Target.
+        target: SmolStr,
+    },
+    /// A packet came of a flow that the target does not hold.
+    Stray {
+        /// Flow.
+        flow: FlowEnds,
+        /// Target.
+        target: SmolStr,
+        /// Instance that forwarded it.
+        via: Ipv4Addr,
+        /// When it came.
+        at: Instant,
+    },
+    /// A packet came that its sender did not write so.
+    Forged {
+        /// What is wrong.
+        what: String,
+    },
+}
+
+/// How a target is set up.
+#[derive(Clone, Debug)]
+pub struct EchoTargetSetup {
+    /// Name; its digits after the last dash are hexadecimal.
+    pub id: SmolStr,
+    /// Service.
+    pub service: SmolStr,
+    /// Data centre.
+    pub data_centre: SmolStr,
+    /// Address.
+    pub address: SocketAddrV4,
+    /// Port at which callers receive packets.
+    pub caller_port: u16,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Time for which it is cold after its start.
+    pub cold: Duration,
+}
+
+/// How a target behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetMood {
+    /// It neither reads nor answers anything.
+    pub is_frozen: bool,
+    /// It says that it is leaving.
+    pub is_draining: bool,
+    /// Health answers are held back.
+    pub holds_health: bool,
+}
+
+/// A running target. Dropping it is a crash.
+pub struct EchoTarget {
+    setup: EchoTargetSetup,
+    mood: Arc<Mutex<TargetMood>>,
+    _tasks: JoinSet<()>,
+}
+
+impl EchoTarget {
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why its address cannot be used.
+    pub async fn start(
+        setup: EchoTargetSetup,
+        store: Arc<ObjectStore>,
+        events: UnboundedSender<TargetEvent>,
+    ) -> Result<Self> {
+        let socket = UdpSocket::bind(setup.address).await.context("target's datagrams")?;
+        let health = TcpListener::bind(setup.address).await.context("target's health")?;
+        let mood = Arc::new(Mutex::new(TargetMood::default()));
+        let flows = TargetFlows::new(setup.clone(), socket, Arc::clone(&mood), events);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(flows.run());
+        tasks.spawn(serve_health(health, Arc::clone(&mood)));
+        tasks.spawn(register(setup.clone(), store, Arc::clone(&mood)));
+        Ok(Self { setup, mood, _tasks: tasks })
+    }
+
+    /// Returns how it was set up.
+    pub fn setup(&self) -> &EchoTargetSetup {
+        &self.setup
+    }
+
+    /// Changes how it behaves.
+    pub fn set_mood(&self, change: impl FnOnce(&mut TargetMood)) {
+        change(&mut self.mood.lock());
+    }
+}
+
+async fn register(setup: EchoTargetSetup, store: Arc<ObjectStore>, mood: Arc<Mutex<TargetMood>>) {
+    let started = Instant::now();
+    let mut sequence = 0_u64;
+    let mut told_draining = false;
+    let mut next = started;
+    loop {
+        let TargetMood { is_frozen, is_draining, .. } = *mood.lock();
+        if !is_frozen && (Instant::now() >= next || is_draining != told_draining) {
+            sequence += 1;
+            let cold_left = setup.cold.saturating_sub(started.elapsed());
+            let spec = json!({
+                "service": setup.service,
+                "address": setup.address,
+                "zone": setup.data_centre,
+                "version": "1",
+                "slots": setup.slots,
+                "state": if is_draining { "draining" } else { "ready" },
+                "cold-left-ms": cold_left.as_millis() as u64,
+                "sequence": sequence,
+            });
+            if store.enter_server(&setup.id, spec, Instant::now() + 3 * HEARTBEAT) {
+                told_draining = is_draining;
+                next = Instant::now() + HEARTBEAT;
+            }
+        }
+        tokio::time::sleep(HEARTBEAT / 24).await;
+    }
+}
+
+async fn serve_health(listener: TcpListener, mood: Arc<Mutex<TargetMood>>) {
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else { continue };
+        let mood = Arc::clone(&mood);
+        tokio::spawn(async move {
+            let mut buf = [0; DATAGRAM_BYTES];
+            if stream.read(&mut buf).await.is_err() {
+                return;
+            }
+            while mood.lock().is_frozen || mood.lock().holds_health {
+                tokio::time::sleep(TICK).await;
+            }
+            let status = if mood.lock().is_draining { "503 Leaving" } else { "200 OK" };
+            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+            if let Err(err) = stream.write_all(answer.as_bytes()).await {
+                log::debug!("health answer not sent: {err}");
+            }
+        });
+    }
+}
+
+struct TargetFlow {
+    end: FlowEnd,
+    stream: Vec<u8>,
+    echo: u32,
+    first_seq: u32,
+    caller_seq: u32,
+    opening: (Ipv4Addr, Instant),
+    is_open: bool,
+}
+
+struct Run {
+    flow: FlowEnds,
+    req: FlowRequest,
+    until: Option<Instant>,
+}
+
+struct TargetFlows {
+    setup: EchoTargetSetup,
+    token: u64,
+    socket: UdpSocket,
+    mood: Arc<Mutex<TargetMood>>,
+    events: UnboundedSender<TargetEvent>,
+    flows: HashMap<FlowEnds, TargetFlow>,
+    queue: VecDeque<Run>,
+    next_seq: u32,
+}
+
+impl TargetFlows {
+    fn new(
+        setup: EchoTargetSetup,
+        socket: UdpSocket,
+        mood: Arc<Mutex<TargetMood>>,
+        events: UnboundedSender<TargetEvent>,
+    ) -> Self {
+        let digits = setup.id.rsplit('-').next().unwrap_or_default();
+        let token = u64::from_str_radix(digits, 16).unwrap_or_default();
+        let (flows, queue) = (HashMap::new(), VecDeque::new());
+        Self { setup, token, socket, mood, events, flows, queue, next_seq: 1_000 }
+    }
+
+    async fn run(mut self) {
+        let mut buf = vec![0; DATAGRAM_BYTES];
+        let mut tick = tokio::time::interval(TICK);
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buf) => {
+                    let Ok((len, from)) = received else { continue };
+                    if !self.mood.lock().is_frozen {
+                        self.on_datagram(&buf[..len], from).await;
+                    }
+                }
+                _ = tick.tick() => {
+                    if !self.mood.lock().is_frozen {
+                        self.work().await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn on_datagram(&mut self, buf: &[u8], from: SocketAddr) {
+        let SocketAddr::V4(from) = from else { return };
+        let Some((token, packet)) = buf.split_first_chunk::<TOKEN_BYTES>() else { return };
+        let token = u64::from_be_bytes(*token);
+        let packet = match EchoPacket::decode(packet) {
+            Ok((packet, _)) => packet,
+            Err(err) => return self.tell(TargetEvent::Forged { what: err.to_string() }),
+        };
+        if token != 0 && token != self.token {
+            return;
+        }
+        let flow = (packet.from, packet.to);
+        if packet.has(SYN) {
+            self.on_opening(flow, &packet, *from.ip()).await;
+        } else if self.flows.contains_key(&flow) {
+            self.on_flow_packet(flow, &packet).await;
+        } else {
+            let (target, at) = (self.setup.id.clone(), Instant::now());
+            self.tell(TargetEvent::Stray { flow, target, via: *from.ip(), at });
+            if !packet.has(RST) {
+                self.reset(flow, &packet).await;
+            }
+        }
+    }
+
+    async fn on_opening(&mut self, flow: FlowEnds, packet: &EchoPacket, via: Ipv4Addr) {
+        self.next_seq = self.next_seq.wrapping_add(0x0010_0001);
+        let first_seq = self.next_seq;
+        let entry = self.flows.entry(flow).or_insert_with(|| TargetFlow {
+            end: FlowEnd::new(first_seq.wrapping_add(1), packet.seq.wrapping_add(1)),
+            stream: Vec::new(),
+            echo: packet.echo,
+            first_seq,
+            caller_seq: packet.seq,
+            opening: (via, Instant::now()),
+            is_open: false,
+        });
+        entry.echo = packet.echo;
+        let segment = OutgoingSegment {
+            flags: SYN | ACK,
+            seq: entry.first_seq,
+            ack: entry.caller_seq.wrapping_add(1),
+            data: Vec::new(),
+        };
+        let echo = entry.echo;
+        self.send(flow, segment, echo).await;
+    }
+
+    async fn on_flow_packet(&mut self, flow: FlowEnds, packet: &EchoPacket) {
+        let Some(entry) = self.flows.get_mut(&flow) else { return };
+        if packet.has(RST) {
+            self.flows.remove(&flow);
+            return;
+        }
+        entry.echo = packet.echo;
+        let was_open = entry.is_open;
+        entry.is_open = true;
+        entry.end.on_packet(packet, Instant::now());
+        entry.stream.extend(entry.end.take_received());
+        let (via, at) = entry.opening;
+        let mut requests = Vec::new();
+        while let Some(req) = FlowRequest::take(&mut entry.stream) {
+            requests.push(req);
+        }
+        if !was_open {
+            let target = self.setup.id.clone();
+            self.tell(TargetEvent::Opened { flow, target, via, at });
+        }
+        for req in requests {
+            self.queue.push_back(Run { flow, req, until: None });
+        }
+        self.work().await;
+    }
+
+    /// Runs requests in the slots and sends what is due.
+    async fn work(&mut self) {
+        let now = Instant::now();
+        let mut started = Vec::new();
+        for run in self.queue.iter_mut().take(self.setup.slots).filter(|run| run.until.is_none()) {
+            run.until = Some(now + Duration::from_millis(u64::from(run.req.work_ms)));
+            started.push(run.req.id);
+        }
+        for id in started {
+            self.tell(TargetEvent::Ran { id, target: self.setup.id.clone() });
+        }
+        let is_draining = self.mood.lock().is_draining;
+        let flows = &mut self.flows;
+        self.queue.retain(|run| {
+            let is_done = run.until.is_some_and(|until| now >= until);
+            if let Some(flow) = flows.get_mut(&run.flow).filter(|_| is_done) {
+                flow.end.write(&run.req.answer());
+                if is_draining {
+                    flow.end.finish();
+                }
+            }
+            !is_done
+        });
+        let mut due = Vec::new();
+        self.flows.retain(|ends, flow| {
+            if flow.end.is_peer_finished() {
+                flow.end.finish();
+            }
+            let segments = if flow.is_open { flow.end.poll(now) } else { Vec::new() };
+            due.extend(segments.into_iter().map(|segment| (*ends, segment, flow.echo)));
+            !flow.end.is_given_up()
+        });
+        for (ends, segment, echo) in due {
+            self.send(ends, segment, echo).await;
+        }
+    }
+
+    async fn reset(&self, flow: FlowEnds, packet: &EchoPacket) {
+        let segment = OutgoingSegment { flags: RST, seq: packet.ack, ack: 0, data: Vec::new() };
+        self.send(flow, segment, packet.echo).await;
+    }
+
+    async fn send(&self, (caller, service): FlowEnds, segment: OutgoingSegment, echo: u32) {
+        let OutgoingSegment { flags, seq, ack, data } = segment;
+        let packet = EchoPacket { from: service, to: caller, flags, echo, seq, ack, data };
+        let to = SocketAddrV4::new(*caller.ip(), self.setup.caller_port);
+        if let Err(err) = self.socket.send_to(&packet.encode(), to).await {
+            log::debug!("packet for {to} not sent: {err}");
+        }
+    }
+
+    fn tell(&self, event: TargetEvent) {
+        if self.events.send(event).is_err() {
+            log::debug!("nobody listens to {}", self.setup.id);
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/object_server.rs
@@ -0,0 +1,182 @@
+//! HTTP in front of the stand-in store, one address for each instance so that each can meet faults
+//! of its own.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde_json::{json, Value};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use crate::object_store::{ObjectStore, StoreRefusal};
+
+/// How the store treats the calls of one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreManner {
+    /// It answers.
+    #[default]
+    Serves,
+    /// It answers that nothing was done.
+    Refuses,
+    /// It neither does anything nor answers.
+    Silent,
+    /// It does what it is asked and does not answer.
+    LosesAnswers,
+    /// It answers late.
+    Slow(Duration),
+}
+
+/// Address of the store for one instance.
+pub struct ObjectServer {
+    address: SocketAddr,
+    manner: Arc<Mutex<StoreManner>>,
+    _tasks: JoinSet<()>,
+}
+
+impl ObjectServer {
+    /// Serves the store at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address cannot be used.
+    pub async fn start(store: Arc<ObjectStore>, address: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let manner = Arc::new(Mutex::new(StoreManner::default()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, store, Arc::clone(&manner)));
+        Ok(Self { address, manner, _tasks: tasks })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_manner(&self, manner: StoreManner) {
+        *self.manner.lock() = manner;
+    }
+}
+
+async fn accept(listener: TcpListener, store: Arc<ObjectStore>, manner: Arc<Mutex<StoreManner>>) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        connections.spawn(serve(stream, Arc::clone(&store), Arc::clone(&manner)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(stream: TcpStream, store: Arc<ObjectStore>, manner: Arc<Mutex<StoreManner>>) {
+    let service = service_fn(move |req| {
+        let (store, manner) = (Arc::clone(&store), Arc::clone(&manner));
+        async move { Ok::<_, Infallible>(respond(&store, &manner, req).await) }
+    });
+    if let Err(err) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("connection to the store ended: {err}");
+    }
+}
+
+async fn respond(
+    store: &ObjectStore,
+    manner: &Mutex<StoreManner>,
+    req: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let before = *manner.lock();
+    match before {
+        StoreManner::Silent => std::future::pending().await,
+        _ if store.is_down() => std::future::pending().await,
+        StoreManner::Refuses => return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        StoreManner::Slow(time) => tokio::time::sleep(time).await,
+        StoreManner::Serves | StoreManner::LosesAnswers => {}
+    }
+    let result = call(store, req).await;
+    let after = *manner.lock();
+    if store.is_down() || matches!(after, StoreManner::Silent | StoreManner::LosesAnswers) {
+        std::future::pending::<()>().await;
+    }
+    match result {
+        Ok((status, value)) => answer(status, &value),
+        Err(refusal) => refused(&refusal),
+    }
+}
+
+async fn call(
+    store: &ObjectStore,
+    req: Request<Incoming>,
+) -> Result<(StatusCode, Value), StoreRefusal> {
+    let (head, body) = req.into_parts();
+    let body = body.collect().await.map_err(|_| StoreRefusal::Nonsense("body cut off"))?;
+    let body = body.to_bytes();
+    let query = Query(head.uri.query().unwrap_or_default());
+    let path: Vec<_> = head.uri.path().trim_matches('/').split('/').collect();
+    match (&head.method, path.as_slice()) {
+        (&Method::GET, ["api", "objects", kind]) => match query.number("watch") {
+            Some(after) => {
+                let wait = Duration::from_millis(query.number("wait-ms").unwrap_or_default());
+                Ok((StatusCode::OK, store.watch(kind, after, wait).await?))
+            }
+            None => {
+                Ok((StatusCode::OK, store.list(kind, query.text("after").unwrap_or_default())?))
+            }
+        },
+        (&Method::GET, ["api", "objects", kind, name]) => {
+            Ok((StatusCode::OK, store.get(kind, name)?))
+        }
+        (&Method::POST, ["api", "objects", kind]) => {
+            let object = object(&body)?;
+            let name = object["meta"]["name"].as_str().unwrap_or_default();
+            Ok((StatusCode::CREATED, store.put(kind, name, object["spec"].clone(), 0)?))
+        }
+        (&Method::PUT, ["api", "objects", kind, name]) => {
+            let object = object(&body)?;
+            let revision = object["meta"]["revision"].as_u64().unwrap_or_default();
+            Ok((StatusCode::OK, store.put(kind, name, object["spec"].clone(), revision)?))
+        }
+        _ => Err(StoreRefusal::Nonsense("no such call")),
+    }
+}
+
+fn object(body: &[u8]) -> Result<Value, StoreRefusal> {
+    serde_json::from_slice(body).map_err(|_| StoreRefusal::Nonsense("body is no object"))
+}
+
+struct Query<'a>(&'a str);
+
+impl<'a> Query<'a> {
+    fn text(&self, name: &str) -> Option<&'a str> {
+        self.0.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.text(name)?.parse().ok()
+    }
+}
+
+fn refused(refusal: &StoreRefusal) -> Response<Full<Bytes>> {
+    match refusal {
+        StoreRefusal::Missing => answer(StatusCode::NOT_FOUND, &json!({})),
+        StoreRefusal::Conflict(object) => answer(StatusCode::CONFLICT, object),
+        StoreRefusal::Gone => answer(StatusCode::GONE, &json!({})),
+        StoreRefusal::TooMany => answer(StatusCode::TOO_MANY_REQUESTS, &json!({})),
+        StoreRefusal::Nonsense(what) => answer(StatusCode::BAD_REQUEST, &json!({ "error": what })),
+    }
+}
+
+fn answer(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
+    *response.status_mut() = status;
+    response
+}
