testutils, soak: stand-in of the users' platform, and a fault soak over it

The stand-in speaks the published protocol from the other side: store (history, rates, waiting watches, answers refused, lost, late), targets (flows, health, registration), fabric (readiness, hash by modulo), callers (copies, resends, answers checked byte by byte), proxies that delay, reset, cut one way or silence.

New setting peer_advertised: the address at which others reach an instance, for proxies and translated addresses in between.

--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,670 @@
+//! Everything that surrounds the instances of a run, and the faults that are done to them.
+
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use parking_lot::Mutex;
+use serde_json::{json, Value};
+use smol_str::{format_smolstr, SmolStr};
+use testutils::echo_target::{EchoTarget, EchoTargetSetup, TargetEvent};
+use testutils::fault_proxy::{ConnectionFault, ConnectionProxy, DatagramFaults, DatagramProxy};
+use testutils::flow_router::{FlowRouter, RoutedInstance};
+use testutils::instance_settings::{FLOW_KEY, PEER_KEY};
+use testutils::object_server::{ObjectServer, StoreManner};
+use testutils::object_store::{ObjectStore, StoreLimits, SERVERS};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::addresses::{Addresses, Role};
+use crate::fault_plan::{Change, Fault, StoreFault};
+use crate::instance_process::{InstanceProcess, Sent};
+use crate::judge::{Disturbance, History, Outage, RouteLife, Subject, TargetLife};
+
+/// Names of the data centres.
+pub const DATA_CENTRES: [&str; 3] = ["horn-east-a", "horn-east-b", "horn-east-c"];
+const SERVICES: [&str; 2] = ["quaydesk", "rosterbook"];
+const SEEDS: usize = 3;
+const GRACE: Duration = Duration::from_secs(6);
+const RESTART_AFTER: Duration = Duration::from_millis(300);
+const LOOK: Duration = Duration::from_millis(50);
+const STOP_GAP: Duration = Duration::from_millis(500);
+/// Time that a target which is leaving goes on after the store took its word.
+const DRAIN_TIME: Duration = Duration::from_millis(4_500);
+/// Time after which an address may go to another target.
+const REUSE_AFTER: Duration = Duration::from_secs(2);
+const COLD_TIME: Duration = Duration::from_secs(3);
+const COLD_FLOWS_PER_SECOND: usize = 10;
+const COLD_MULTIPLIER: f64 = 1.5;
+const COLD_SLACK: usize = 5;
+const SLOW_STORE: Duration = Duration::from_millis(700);
+const SLOW_PEERS: Duration = Duration::from_millis(300);
+const MANY_ROUTES: u16 = 1_200;
+const CHANGE_GAP: Duration = Duration::from_millis(150);
+const CHANGES_IN_SERIES: usize = 4;
+const ROUTE_IP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
+const FIRST_EXTRA_PORT: u16 = 10_000;
+const SLOTS: usize = 8;
+
+/// Sizes of a world.
+#[derive(Clone, Copy, Debug)]
+pub struct WorldSize {
+    /// Instances.
+    pub instances: usize,
+    /// Targets.
+    pub targets: usize,
+}
+
+struct Instance {
+    name: SmolStr,
+    data_centre: SmolStr,
+    settings: String,
+    process: Mutex<InstanceProcess>,
+    store: ObjectServer,
+    path_to_store: ConnectionProxy,
+}
+
+struct Target {
+    service: SmolStr,
+    data_centre: SmolStr,
+    running: Option<EchoTarget>,
+    address: usize,
+}
+
+#[derive(Default)]
+struct Configuration {
+    version: u64,
+    routes: Vec<(SocketAddrV4, SmolStr)>,
+    next_port: u16,
+}
+
+struct Places {
+    free: VecDeque<(usize, Instant)>,
+    next: usize,
+    started: u64,
+}
+
+/// The world of a run.
+pub struct World {
+    addresses: Addresses,
+    instances: Vec<Instance>,
+    targets: Vec<tokio::sync::Mutex<Target>>,
+    places: Mutex<Places>,
+    configuration: Mutex<Configuration>,
+    store: Arc<ObjectStore>,
+    router: Arc<FlowRouter>,
+    peer_faults: Arc<Mutex<DatagramFaults>>,
+    events: UnboundedSender<TargetEvent>,
+    /// Addresses that callers use: those of routes that stay.
+    pub services: Arc<Mutex<Vec<SocketAddrV4>>>,
+    /// What happens and is seen.
+    pub history: Arc<Mutex<History>>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+impl World {
+    /// Starts everything; `program` is run for each instance and writes its files into `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what cannot be started.
+    pub async fn start(
+        program: &Path,
+        dir: &Path,
+        size: WorldSize,
+        events: UnboundedSender<TargetEvent>,
+    ) -> Result<Arc<Self>> {
+        let addresses = Addresses::choose()?;
+        let store = Arc::new(ObjectStore::new(StoreLimits::default()));
+        let peer_faults = Arc::new(Mutex::new(DatagramFaults::default()));
+        let mut instances = Vec::new();
+        let mut tasks = JoinSet::new();
+        for index in 0..size.instances {
+            let (peer, proxy) = (addresses.peer(index), addresses.peer_proxy(index));
+            let proxy = DatagramProxy::start(proxy, peer, Arc::clone(&peer_faults)).await?;
+            tasks.spawn(async move {
+                let _proxy = proxy;
+                std::future::pending::<()>().await;
+            });
+            instances.push(Instance::prepare(program, dir, index, &addresses, &store).await?);
+        }
+        let router =
+            FlowRouter::new(instances.iter().enumerate().map(routed(&addresses)).collect());
+        tasks.spawn(Arc::clone(&router).poll());
+        let cold = (COLD_FLOWS_PER_SECOND as f64 * COLD_MULTIPLIER) as usize + COLD_SLACK;
+        let history = History { cold_flows_per_second: cold, ..History::default() };
+        let world = Arc::new(Self {
+            targets: (0..size.targets)
+                .map(|index| tokio::sync::Mutex::new(Target::new(index)))
+                .collect(),
+            places: Mutex::new(Places { free: VecDeque::new(), next: 0, started: 0 }),
+            configuration: Mutex::new(Configuration {
+                next_port: FIRST_EXTRA_PORT,
+                ..Default::default()
+            }),
+            services: Arc::default(),
+            history: Arc::new(Mutex::new(history)),
+            tasks: Mutex::new(tasks),
+            addresses,
+            instances,
+            store,
+            router,
+            peer_faults,
+            events,
+        });
+        world.begin().await?;
+        Ok(world)
+    }
+
+    /// Returns the fabric.
+    pub fn router(&self) -> &Arc<FlowRouter> {
+        &self.router
+    }
+
+    /// Returns the address of a host of callers.
+    pub fn caller(&self, index: usize) -> SocketAddrV4 {
+        self.addresses.caller(index)
+    }
+
+    /// Waits until the fabric has all instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that takes too long.
+    pub async fn wait_until_ready(&self, patience: Duration) -> Result<()> {
+        let ready = async {
+            while !self.router.are_all_in() {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        tokio::time::timeout(patience, ready).await.context("instances did not become ready")
+    }
+
+    /// Does a fault; what ends later goes on in the background.
+    pub fn inject(self: &Arc<Self>, fault: Fault) {
+        log::info!("{fault:?}");
+        let world = Arc::clone(self);
+        let mut tasks = self.tasks.lock();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(async move {
+            if let Err(err) = world.carry_out(fault).await {
+                log::warn!("{fault:?} not carried out: {err:#}");
+            }
+        });
+    }
+
+    async fn begin(self: &Arc<Self>) -> Result<()> {
+        let store = Arc::clone(&self.store);
+        self.tasks.lock().spawn(async move {
+            loop {
+                tokio::time::sleep(LOOK).await;
+                store.sweep(Instant::now());
+            }
+        });
+        for (service, port) in SERVICES.iter().zip(8_080..) {
+            let address = SocketAddrV4::new(ROUTE_IP, port);
+            self.configuration.lock().routes.push((address, SmolStr::new(service)));
+            self.services.lock().push(address);
+        }
+        self.write_configuration();
+        for index in 0..self.targets.len() {
+            self.start_target(index, Duration::ZERO).await?;
+        }
+        for instance in &self.instances {
+            instance.process.lock().start()?;
+        }
+        let history = Arc::clone(&self.history);
+        self.tasks.lock().spawn(async move { watch_machine(&history).await });
+        Ok(())
+    }
+
+    async fn carry_out(&self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Kill(index) => self.kill(index).await,
+            Fault::KillAll => {
+                let kills = (0..self.instances.len()).map(|index| self.kill(index));
+                for kill in kills.collect::<Vec<_>>() {
+                    kill.await?;
+                }
+                Ok(())
+            }
+            Fault::Stop(index) => self.stop(index).await,
+            Fault::StopInTurn => {
+                for index in 0..self.instances.len() {
+                    self.stop(index).await?;
+                    tokio::time::sleep(STOP_GAP).await;
+                }
+                Ok(())
+            }
+            Fault::Pause(index, time) => self.pause(index, time).await,
+            Fault::HangUp(index) => {
+                let instance = &self.instances[index];
+                instance.process.lock().write_settings(&instance.settings)?;
+                instance.process.lock().signal(Sent::HangUp)
+            }
+            Fault::CutPeers(from, to, time) => self.cut_peers(from, to, time).await,
+            Fault::DelayPeers(time) => {
+                self.peer_faults.lock().set_delay(SLOW_PEERS);
+                let mark = self.disturb_all();
+                tokio::time::sleep(time).await;
+                self.peer_faults.lock().set_delay(Duration::ZERO);
+                self.end(mark);
+                Ok(())
+            }
+            Fault::Store(fault, time) => self.harm_store(fault, time).await,
+            Fault::ForgetHistory => {
+                self.store.compact();
+                Ok(())
+            }
+            Fault::CrashTarget(index) => self.crash_target(index).await,
+            Fault::FreezeTarget(index, time) => {
+                self.harm_target(index, time, |mood, is_on| mood.is_frozen = is_on).await
+            }
+            Fault::HoldHealth(index, time) => {
+                self.harm_target(index, time, |mood, is_on| mood.holds_health = is_on).await
+            }
+            Fault::ReplaceTarget(index) => self.replace_target(index).await,
+            Fault::TakeOut(index, time) => self.take_out(DATA_CENTRES[index], time).await,
+            Fault::Configure(change) => {
+                self.configure(change).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn kill(&self, index: usize) -> Result<()> {
+        let mark = self.disturb_instance(index, false);
+        self.instances[index].process.lock().kill()?;
+        tokio::time::sleep(RESTART_AFTER).await;
+        self.instances[index].process.lock().start()?;
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn stop(&self, index: usize) -> Result<()> {
+        let mark = self.disturb_instance(index, true);
+        let process = &self.instances[index].process;
+        process.lock().signal(Sent::Terminate)?;
+        let end = Instant::now() + GRACE;
+        while !process.lock().has_ended()? {
+            if Instant::now() >= end {
+                process.lock().kill()?;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        tokio::time::sleep(RESTART_AFTER).await;
+        process.lock().start()?;
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn pause(&self, index: usize, time: Duration) -> Result<()> {
+        let mark = self.disturb_instance(index, false);
+        self.instances[index].process.lock().signal(Sent::Pause)?;
+        tokio::time::sleep(time).await;
+        self.instances[index].process.lock().signal(Sent::Resume)?;
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn cut_peers(&self, from: usize, to: usize, time: Duration) -> Result<()> {
+        let ip = |index| self.addresses.ip(Role::Instance, index).into();
+        let marks = [from, to].map(|index| self.disturb_instance(index, false));
+        self.peer_faults.lock().cut(ip(from), ip(to));
+        tokio::time::sleep(time).await;
+        self.peer_faults.lock().heal(ip(from), ip(to));
+        marks.into_iter().for_each(|mark| self.end(mark));
+        Ok(())
+    }
+
+    async fn harm_store(&self, fault: StoreFault, time: Duration) -> Result<()> {
+        let mark = self.disturb(Subject::Store, false);
+        let instance = |index: usize| &self.instances[index];
+        let set = |is_on: bool| {
+            let manner = |to| if is_on { to } else { StoreManner::Serves };
+            let path = |to| if is_on { to } else { ConnectionFault::None };
+            match fault {
+                StoreFault::Down => self.store.set_down(is_on),
+                StoreFault::Refuses(index) => {
+                    instance(index).store.set_manner(manner(StoreManner::Refuses));
+                }
+                StoreFault::LosesAnswers(index) => {
+                    instance(index).store.set_manner(manner(StoreManner::LosesAnswers));
+                }
+                StoreFault::Slow => {
+                    let all = self.instances.iter();
+                    all.for_each(|it| it.store.set_manner(manner(StoreManner::Slow(SLOW_STORE))));
+                }
+                StoreFault::Silent(index) => {
+                    instance(index).path_to_store.set_fault(path(ConnectionFault::Silent));
+                }
+                StoreFault::Reset(index) => {
+                    instance(index).path_to_store.set_fault(path(ConnectionFault::Reset));
+                }
+                StoreFault::OneWay(index) => {
+                    instance(index).path_to_store.set_fault(path(ConnectionFault::OneWay));
+                }
+            }
+        };
+        set(true);
+        tokio::time::sleep(time).await;
+        set(false);
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn crash_target(&self, index: usize) -> Result<()> {
+        let mut target = self.targets[index].lock().await;
+        let Some(id) = target.running.take().map(|it| it.setup().id.clone()) else { return Ok(()) };
+        let mark = self.disturb(Subject::Target(id.clone()), false);
+        self.leave_place(&id, target.address);
+        drop(target);
+        tokio::time::sleep(REUSE_AFTER).await;
+        self.start_target(index, COLD_TIME).await?;
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn harm_target(
+        &self,
+        index: usize,
+        time: Duration,
+        harm: impl Fn(&mut testutils::echo_target::TargetMood, bool),
+    ) -> Result<()> {
+        let id = {
+            let target = self.targets[index].lock().await;
+            let Some(running) = &target.running else { return Ok(()) };
+            running.set_mood(|mood| harm(mood, true));
+            running.setup().id.clone()
+        };
+        let mark = self.disturb(Subject::Target(id.clone()), false);
+        tokio::time::sleep(time).await;
+        let target = self.targets[index].lock().await;
+        if let Some(running) = target.running.as_ref().filter(|it| it.setup().id == id) {
+            running.set_mood(|mood| harm(mood, false));
+        }
+        self.end(mark);
+        Ok(())
+    }
+
+    async fn replace_target(&self, index: usize) -> Result<()> {
+        let mut target = self.targets[index].lock().await;
+        let Some(running) = &target.running else { return Ok(()) };
+        let id = running.setup().id.clone();
+        running.set_mood(|mood| mood.is_draining = true);
+        while self.store.server(&id).is_none_or(|spec| spec["state"] != "draining") {
+            tokio::time::sleep(LOOK).await;
+        }
+        self.with_life(&id, |life| life.drained = Some(Instant::now()));
+        tokio::time::sleep(DRAIN_TIME).await;
+        target.running = None;
+        while !self.store.remove(SERVERS, &id) {
+            tokio::time::sleep(LOOK).await;
+        }
+        self.leave_place(&id, target.address);
+        drop(target);
+        self.start_target(index, COLD_TIME).await
+    }
+
+    async fn start_target(&self, index: usize, cold: Duration) -> Result<()> {
+        let mut target = self.targets[index].lock().await;
+        let (place, number) = self.take_place();
+        target.address = place;
+        let id = format_smolstr!("i-{number:04x}");
+        let setup = EchoTargetSetup {
+            id: id.clone(),
+            service: target.service.clone(),
+            data_centre: target.data_centre.clone(),
+            address: self.addresses.target(place),
+            caller_port: self.addresses.flow_port,
+            slots: SLOTS,
+            cold,
+        };
+        let life = TargetLife {
+            service: target.service.clone(),
+            data_centre: target.data_centre.clone(),
+            started: Instant::now(),
+            cold,
+            drained: None,
+            ended: None,
+        };
+        self.history.lock().targets.insert(id, life);
+        let store = Arc::clone(&self.store);
+        target.running = Some(EchoTarget::start(setup, store, self.events.clone()).await?);
+        Ok(())
+    }
+
+    /// Returns a place for a target: one that was left long enough ago, or a new one.
+    fn take_place(&self) -> (usize, u64) {
+        let mut places = self.places.lock();
+        places.started += 1;
+        let number = places.started;
+        let is_free = |(_, at): &(usize, Instant)| Instant::now() >= *at + REUSE_AFTER;
+        if places.free.front().is_some_and(is_free) {
+            if let Some((place, _)) = places.free.pop_front() {
+                return (place, number);
+            }
+        }
+        places.next += 1;
+        (places.next - 1, number)
+    }
+
+    fn leave_place(&self, id: &str, place: usize) {
+        let now = Instant::now();
+        self.with_life(id, |life| life.ended = Some(now));
+        self.places.lock().free.push_back((place, now));
+    }
+
+    fn with_life(&self, id: &str, change: impl FnOnce(&mut TargetLife)) {
+        if let Some(life) = self.history.lock().targets.get_mut(id) {
+            change(life);
+        }
+    }
+
+    async fn take_out(&self, data_centre: &str, time: Duration) -> Result<()> {
+        while self.store.write("evacuations", data_centre, json!({})).is_none() {
+            tokio::time::sleep(LOOK).await;
+        }
+        let outage = Outage { data_centre: data_centre.into(), from: Instant::now(), until: None };
+        self.history.lock().outages.push(outage);
+        tokio::time::sleep(time + crate::judge::OUTAGE_BOUND).await;
+        let now = Instant::now();
+        for outage in &mut self.history.lock().outages {
+            if outage.data_centre == data_centre {
+                outage.until.get_or_insert(now);
+            }
+        }
+        while !self.store.remove("evacuations", data_centre) {
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
+    async fn configure(&self, change: Change) {
+        let count = if change == Change::Series { CHANGES_IN_SERIES } else { 1 };
+        for step in 0..count {
+            let step_change = match change {
+                Change::Series if step % 2 == 0 => Change::AddRoute,
+                Change::Series => Change::DropRoute,
+                other => other,
+            };
+            self.change_routes(step_change);
+            while !self.write_configuration() {
+                tokio::time::sleep(LOOK).await;
+            }
+            tokio::time::sleep(CHANGE_GAP).await;
+        }
+    }
+
+    fn change_routes(&self, change: Change) {
+        let mut configuration = self.configuration.lock();
+        let count = match change {
+            Change::AddRoute | Change::Series => 1,
+            Change::AddManyRoutes => MANY_ROUTES,
+            Change::DropRoute => 0,
+        };
+        for _ in 0..count {
+            let address = SocketAddrV4::new(ROUTE_IP, configuration.next_port);
+            configuration.next_port = configuration.next_port.wrapping_add(1).max(FIRST_EXTRA_PORT);
+            configuration.routes.push((address, SERVICES[0].into()));
+        }
+        if count == 1 {
+            if let Some((address, _)) = configuration.routes.last() {
+                self.services.lock().push(*address);
+            }
+        }
+        if change == Change::DropRoute && configuration.routes.len() > SERVICES.len() {
+            configuration.routes.remove(SERVICES.len());
+        }
+    }
+
+    /// Writes the configuration; tells whether the store took it.
+    fn write_configuration(&self) -> bool {
+        let mut configuration = self.configuration.lock();
+        configuration.version += 1;
+        if self.store.write("config", "main", configuration.spec()).is_none() {
+            return false;
+        }
+        let now = Instant::now();
+        let mut history = self.history.lock();
+        for (address, service) in &configuration.routes {
+            let added = || RouteLife { service: service.clone(), added: now, dropped: None };
+            history.routes.entry(*address).or_insert_with(added);
+        }
+        for (address, life) in &mut history.routes {
+            if !configuration.routes.iter().any(|(it, _)| it == address) {
+                life.dropped.get_or_insert(now);
+            }
+        }
+        true
+    }
+
+    fn disturb_instance(&self, index: usize, is_planned: bool) -> usize {
+        let subject = Subject::Instance(self.addresses.ip(Role::Instance, index));
+        self.disturb(subject, is_planned)
+    }
+
+    fn disturb_all(&self) -> usize {
+        self.disturb(Subject::Machine, false)
+    }
+
+    fn disturb(&self, subject: Subject, is_planned: bool) -> usize {
+        let mut history = self.history.lock();
+        let from = Instant::now();
+        history.disturbances.push(Disturbance { subject, from, until: None, is_planned });
+        history.disturbances.len() - 1
+    }
+
+    fn end(&self, mark: usize) {
+        if let Some(disturbance) = self.history.lock().disturbances.get_mut(mark) {
+            disturbance.until = Some(Instant::now());
+        }
+    }
+}
+
+impl Instance {
+    async fn prepare(
+        program: &Path,
+        dir: &Path,
+        index: usize,
+        addresses: &Addresses,
+        store: &Arc<ObjectStore>,
+    ) -> Result<Self> {
+        let data_centre = SmolStr::new(DATA_CENTRES[index % DATA_CENTRES.len()]);
+        let name = format_smolstr!("entry-{data_centre}-{index}");
+        let any = (Ipv4Addr::LOCALHOST, 0).into();
+        let store = ObjectServer::start(Arc::clone(store), any).await?;
+        let path_to_store = ConnectionProxy::start(store.address()).await?;
+        let seeds: Vec<_> =
+            (0..SEEDS).map(|index| addresses.peer_proxy(index).to_string()).collect();
+        let settings = format!(
+            "[instance]\nname = {name}\ndata_centre = {data_centre}\n\
+             [listen]\nflow = {}\npeer = {}\npeer_advertised = {}\nadmin = {}\n\
+             [platform]\nurl = http://{}\napi = objects\n\
+             [peers]\nseeds = {}\n\
+             [keys]\nflow = {FLOW_KEY}\npeer = {PEER_KEY}\n\
+             [flows]\nform = echo\noutage_bound_ms = {}\ncold_multiplier = {COLD_MULTIPLIER}\n\
+             cold_slack = {COLD_SLACK}\n\
+             [stop]\ngrace_ms = {}\n",
+            addresses.flow(index),
+            addresses.peer(index),
+            addresses.peer_proxy(index),
+            addresses.admin(index),
+            path_to_store.address(),
+            seeds.join(","),
+            crate::judge::OUTAGE_BOUND.as_millis(),
+            GRACE.as_millis(),
+        );
+        let process = Mutex::new(InstanceProcess::new(program, dir, &name, &settings)?);
+        Ok(Self { name, data_centre, settings, process, store, path_to_store })
+    }
+}
+
+impl Target {
+    fn new(index: usize) -> Self {
+        let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()].into();
+        let service = SERVICES[index / DATA_CENTRES.len() % SERVICES.len()].into();
+        Self { service, data_centre, running: None, address: 0 }
+    }
+}
+
+impl Configuration {
+    fn spec(&self) -> Value {
+        let route = |(address, service): &(SocketAddrV4, SmolStr)| {
+            json!({
+                "name": format!("r{}", address.port()),
+                "hostname": address.ip(),
+                "path-prefix": format!("/{}/", address.port()),
+                "type": "unsafe",
+                "timeout-ms": 5_000,
+                "aim-ms": 200,
+                "priority": 0,
+                "service": service,
+            })
+        };
+        let service = |name: &&str| {
+            json!({
+                "name": name,
+                "health-path": "/healthz",
+                "cold-start-s": COLD_TIME.as_secs(),
+                "cold-per-s": COLD_FLOWS_PER_SECOND,
+            })
+        };
+        json!({
+            "version": self.version,
+            "routes": self.routes.iter().map(route).collect::<Vec<_>>(),
+            "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
+            "limits": { "idle-timeout-ms": 30_000 },
+        })
+    }
+}
+
+fn routed(addresses: &Addresses) -> impl Fn((usize, &Instance)) -> RoutedInstance + '_ {
+    |(index, instance)| RoutedInstance {
+        name: instance.name.clone(),
+        data_centre: instance.data_centre.clone(),
+        flow: addresses.flow(index),
+        admin: addresses.admin(index),
+    }
+}
+
+/// Notes when the machine did not let this process run for long: everything may have stood still.
+async fn watch_machine(history: &Mutex<History>) {
+    /// Delay of a timer from which the machine counts as disturbed.
+    const STALL: Duration = Duration::from_millis(150);
+    loop {
+        let from = Instant::now();
+        tokio::time::sleep(LOOK).await;
+        let now = Instant::now();
+        if now > from + LOOK + STALL {
+            log::warn!("the machine stood still for {:?}", now - from);
+            let (subject, until) = (Subject::Machine, Some(now));
+            let stall = Disturbance { subject, from, until, is_planned: false };
+            history.lock().disturbances.push(stall);
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/cookie_fleet.rs
@@ -0,0 +1,156 @@
+//! Instances of the flow door with cookies over narrow links and a store in memory, on the paused
+//! clock.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyhead::cold_share::ColdBound;
+use hollyhead::cookie_door::CookieDoorSetup;
+use hollyhead::cookie_entry::TICK;
+use hollyhead::cookie_instance::{CookieInstance, CookieInstanceSetup};
+use hollyhead::directory_reader::follow;
+use hollyhead::ids::{Cookie, TargetToken};
+use hollyhead::network::Network;
+use hollyhead::platform::Platform;
+use hollyhead::random::SeededRandom;
+use hollyhead::segment::{Segment, SegmentError, SegmentForm};
+use smol_str::format_smolstr;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::memory_platform::MemoryPlatform;
+use crate::narrow_network::{NarrowLink, NarrowNetwork};
+
+const PEER_PORT: u16 = 7_720;
+const FLOW_PORT: u16 = 8_172;
+const SEEDS: usize = 3;
+const DATA_CENTRES: [&str; 3] = ["horn-east-a", "horn-east-b", "horn-east-c"];
+const STEP: Duration = Duration::from_millis(5);
+const BITS_PER_BYTE: f64 = 8.0;
+
+/// A form without packets.
+#[derive(Clone, Copy, Debug)]
+pub struct NoForm;
+
+impl SegmentForm for NoForm {
+    fn decode(&self, datagram: &[u8]) -> Result<Segment, SegmentError> {
+        Err(SegmentError::Short { len: datagram.len() })
+    }
+
+    fn hand_over(&self, _: &[u8], _: TargetToken, _: Cookie, _: &mut Vec<u8>) {}
+
+    fn reset(&self, _: &Segment, _: &mut Vec<u8>) {}
+
+    fn caller_address(&self, caller: Ipv4Addr, flow_port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(caller, flow_port)
+    }
+}
+
+/// Returns the setup of an instance that carries no packets.
+pub fn instance_setup(
+    index: usize,
+    link_mbps: f64,
+    network: impl Fn(SocketAddr) -> Arc<dyn Network>,
+) -> CookieInstanceSetup {
+    let [peer, flow] = [PEER_PORT, FLOW_PORT].map(|port| SocketAddr::new(ip(index), port));
+    let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+    CookieInstanceSetup {
+        door: CookieDoorSetup {
+            id: format_smolstr!("entry-{data_centre}-{index}"),
+            data_centre: data_centre.into(),
+            flow_key: [7; 16],
+            cold: ColdBound { multiplier: 1.5, slack: 5 },
+            outage_bound: Duration::from_secs(5),
+        },
+        epoch: 1,
+        is_first_start: true,
+        peer,
+        flow_port: FLOW_PORT,
+        peer_keys: vec![(0, [1; 32])],
+        link_mbps,
+        seeds: (0..SEEDS).map(|index| SocketAddr::new(ip(index), PEER_PORT)).collect(),
+        form: Arc::new(NoForm),
+        random: Arc::new(SeededRandom::new(index as u64)),
+        flow_network: network(flow),
+        peer_network: network(peer),
+    }
+}
+
+fn ip(index: usize) -> std::net::IpAddr {
+    let [.., high, low] = (index as u32 + 1).to_be_bytes();
+    Ipv4Addr::new(10, 1, high, low).into()
+}
+
+/// Instances that follow one store.
+pub struct CookieFleet {
+    instances: Vec<(SocketAddr, Arc<CookieInstance>)>,
+    network: Arc<NarrowNetwork>,
+    platform: Arc<MemoryPlatform>,
+    next_tick: Instant,
+    _readers: JoinSet<()>,
+}
+
+impl CookieFleet {
+    /// Starts `count` instances. The runtime's clock must be paused.
+    pub fn start(count: usize, link: NarrowLink) -> Self {
+        let network = NarrowNetwork::new(link);
+        let platform = Arc::new(MemoryPlatform::default());
+        let mbps = link.bytes_per_second as f64 * BITS_PER_BYTE / 1e6;
+        let now = Instant::now();
+        let mut readers = JoinSet::new();
+        let instances = (0..count).map(|index| {
+            let setup = instance_setup(index, mbps, |address| network.port(address));
+            let peer = setup.peer;
+            let instance = Arc::new(CookieInstance::new(setup, now));
+            let store = Arc::clone(&platform) as Arc<dyn Platform>;
+            readers.spawn(follow(Arc::clone(&instance), store));
+            instance.ask_seeds(now);
+            (peer, instance)
+        });
+        let instances = instances.collect();
+        Self { instances, network, platform, next_tick: now, _readers: readers }
+    }
+
+    /// Returns the store.
+    pub fn platform(&self) -> &MemoryPlatform {
+        &self.platform
+    }
+
+    /// Returns the network.
+    pub fn network(&self) -> &NarrowNetwork {
+        &self.network
+    }
+
+    /// Returns the instances.
+    pub fn instances(&self) -> impl Iterator<Item = &CookieInstance> {
+        self.instances.iter().map(|(_, instance)| &**instance)
+    }
+
+    /// Returns how many instances have a version of the routing in force.
+    pub fn count_with_routing(&self, version: u64) -> usize {
+        let has = |it: &&CookieInstance| it.with_door(|door| door.routes().version()) == version;
+        self.instances().filter(has).count()
+    }
+
+    /// Lets time pass.
+    pub async fn run_for(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            tokio::time::sleep(STEP).await;
+            let now = Instant::now();
+            for (from, to, buf) in self.network.take_arrived(now) {
+                let receiver = self.instances.iter().find(|(peer, _)| *peer == to);
+                if let Some((_, instance)) = receiver {
+                    instance.on_peer_datagram(now, from, &buf);
+                }
+            }
+            if now >= self.next_tick {
+                self.next_tick = now + TICK;
+                self.instances().for_each(|instance| {
+                    instance.tick(now);
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/testutils/src/narrow_network.rs
@@ -0,0 +1,117 @@
+//! A network in memory whose links are slow and drop what does not fit their queues.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyhead::network::Network;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+const LATENCY: Duration = Duration::from_micros(500);
+
+/// Speed and queue of each instance's link, in each direction.
+#[derive(Clone, Copy, Debug)]
+pub struct NarrowLink {
+    /// Bytes a second.
+    pub bytes_per_second: u64,
+    /// Bytes that wait for the link at most.
+    pub queue_bytes: u64,
+}
+
+/// A datagram that arrived: sender, receiver, contents.
+pub type Arrived = (SocketAddr, SocketAddr, Vec<u8>);
+
+#[derive(Default)]
+struct State {
+    sequence: u64,
+    queue: BTreeMap<(Instant, u64), Arrived>,
+    busy_up: BTreeMap<IpAddr, Instant>,
+    busy_down: BTreeMap<IpAddr, Instant>,
+    dropped: u64,
+    sent_bytes: u64,
+}
+
+/// The network.
+pub struct NarrowNetwork {
+    link: NarrowLink,
+    state: Mutex<State>,
+}
+
+impl NarrowNetwork {
+    /// Creates a network whose links are all alike.
+    pub fn new(link: NarrowLink) -> Arc<Self> {
+        Arc::new(Self { link, state: Mutex::new(State::default()) })
+    }
+
+    /// Returns the sending side of an address.
+    pub fn port(self: &Arc<Self>, from: SocketAddr) -> Arc<dyn Network> {
+        Arc::new(NarrowPort { network: Arc::clone(self), from })
+    }
+
+    /// Returns the number of datagrams that did not fit a queue.
+    pub fn dropped(&self) -> u64 {
+        self.state.lock().dropped
+    }
+
+    /// Returns the bytes that were sent.
+    pub fn sent_bytes(&self) -> u64 {
+        self.state.lock().sent_bytes
+    }
+
+    /// Returns the datagrams that have arrived by now.
+    pub fn take_arrived(&self, now: Instant) -> Vec<Arrived> {
+        let mut state = self.state.lock();
+        let later = state.queue.split_off(&(now, u64::MAX));
+        std::mem::replace(&mut state.queue, later).into_values().collect()
+    }
+
+    fn send(&self, from: SocketAddr, to: SocketAddr, buf: &[u8]) {
+        let mut state = self.state.lock();
+        let state = &mut *state;
+        state.sent_bytes += buf.len() as u64;
+        let up = self.pass(&mut state.busy_up, from.ip(), Instant::now(), buf.len());
+        let down =
+            up.and_then(|at| self.pass(&mut state.busy_down, to.ip(), at + LATENCY, buf.len()));
+        match down {
+            Some(at) => {
+                state.sequence += 1;
+                state.queue.insert((at, state.sequence), (from, to, buf.to_vec()));
+            }
+            None => state.dropped += 1,
+        }
+    }
+
+    /// Returns when a datagram has passed a link, or `None` when the link's queue is full.
+    fn pass(
+        &self,
+        busy: &mut BTreeMap<IpAddr, Instant>,
+        end: IpAddr,
+        at: Instant,
+        len: usize,
+    ) -> Option<Instant> {
+        let free_at = busy.get(&end).copied().unwrap_or(at).max(at);
+        if free_at.saturating_duration_since(at) > self.time(self.link.queue_bytes) {
+            return None;
+        }
+        let passed = free_at + self.time(len as u64);
+        busy.insert(end, passed);
+        Some(passed)
+    }
+
+    fn time(&self, bytes: u64) -> Duration {
+        Duration::from_nanos(bytes * 1_000_000_000 / self.link.bytes_per_second)
+    }
+}
+
+struct NarrowPort {
+    network: Arc<NarrowNetwork>,
+    from: SocketAddr,
+}
+
+impl Network for NarrowPort {
+    fn send(&self, to: SocketAddr, buf: &[u8]) {
+        self.network.send(self.from, to, buf);
+    }
+}
--- a/testutils/src/object_store.rs
+++ b/testutils/src/object_store.rs
@@ -205,9 +205,10 @@
         self.finish(state);
     }
 
-    /// Tells whether a target's entry stands.
-    pub fn has_server(&self, name: &str) -> bool {
-        self.state.lock().objects.contains_key(&(SERVERS.into(), name.into()))
+    /// Returns the entry of a target, as the store has it.
+    pub fn server(&self, name: &str) -> Option<Value> {
+        let state = self.state.lock();
+        state.objects.get(&(SERVERS.into(), name.into())).map(|stored| stored.spec.clone())
     }
 
     /// Lists a kind after a name.
