reload: changed settings are taken at SIGHUP and without a signal, faulty ones refused

Cause: SIGHUP was only logged by the form with cookies, and ended a process of the form ip by accident; a settings file that changed was read at the next start.

Change: settings_file rereads the file every 2 s and at SIGHUP; bounds, link and grace change at once, settings that a running instance cannot change are named in the log, a faulty file is refused once with line and key. SIGINT stops like SIGTERM; SIGUSR1, SIGUSR2 and SIGALRM end nothing.

The list of keys in test_settings grew by the new settings peer_advertised and link_mbps.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon of an entry instance.
 
+mod reload;
+
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -10,6 +12,7 @@
 use hollyhead::entry::Entry;
 use hollyhead::logging;
 use hollyhead::settings::{Settings, IP_FORM};
+use hollyhead::settings_file::SettingsFile;
 // Registers its plug-ins.
 use hollyhead_platform as _;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -39,7 +42,7 @@
 }
 
 fn run(options: &Options) -> Result<()> {
-    let settings = Settings::read(&options.config)?;
+    let (file, settings) = SettingsFile::open(&options.config)?;
     if options.check_config {
         println!("{}: no faults", options.config.display());
         return Ok(());
@@ -47,45 +50,74 @@
     logging::init(&settings.name, &settings.data_centre);
     if settings.form == IP_FORM {
         let runtime = tokio::runtime::Runtime::new().context("cannot start threads")?;
-        return runtime.block_on(serve(&settings));
+        return runtime.block_on(serve(file, settings));
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.context("cannot start the runtime")?.block_on(serve_cookies(&settings))
+    runtime.context("cannot start the runtime")?.block_on(serve_cookies(file, settings))
 }
 
-async fn serve(settings: &Settings) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let entry = Entry::start(settings).await?;
+async fn serve(file: SettingsFile, settings: Settings) -> Result<()> {
+    let mut signals = Signals::new()?;
+    let entry = Entry::start(&settings).await?;
     print_addresses(&entry);
-    terminate.recv().await;
-    leave(entry.leave(), terminate).await;
+    tokio::select! {
+        () = signals.stop() => {}
+        // This form takes changed settings at its next start.
+        result = reload::follow_settings(file, settings, |_| {}) => result?,
+    }
+    leave(entry.leave(), signals).await;
     Ok(())
 }
 
 /// Serves packets that carry their target's cookie, on one thread: its instances are small.
-async fn serve_cookies(settings: &Settings) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
-    let entry = CookieEntry::start(settings).await?;
+async fn serve_cookies(file: SettingsFile, settings: Settings) -> Result<()> {
+    let mut signals = Signals::new()?;
+    let entry = CookieEntry::start(&settings).await?;
     log::info!(
         flow:% = entry.flow(), peer:% = entry.peer(), admin:% = entry.admin();
         "started"
     );
-    loop {
+    tokio::select! {
+        () = signals.stop() => {}
+        result = reload::follow_settings(file, settings, |new| entry.reload(new)) => result?,
+    }
+    leave(entry.leave(), signals).await;
+    Ok(())
+}
+
+/// Signals that a process may get. Those that mean nothing here are taken, since they would end
+/// the process otherwise.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    _ignored: Vec<Signal>,
+}
+
+impl Signals {
+    fn new() -> Result<Self> {
+        let ignored =
+            [SignalKind::user_defined1(), SignalKind::user_defined2(), SignalKind::alarm()];
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            _ignored: ignored.into_iter().map(signal).collect::<Result<_, _>>()?,
+        })
+    }
+
+    /// Waits for the signal to stop.
+    async fn stop(&mut self) {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => log::info!("SIGHUP: settings are read at the next start"),
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
         }
     }
-    leave(entry.leave(), terminate).await;
-    Ok(())
 }
 
-async fn leave(leaving: impl Future<Output = ()>, mut terminate: Signal) {
+async fn leave(leaving: impl Future<Output = ()>, mut signals: Signals) {
     log::info!("leaving; a second SIGTERM stops at once");
     tokio::select! {
         () = leaving => log::info!("left"),
-        _ = terminate.recv() => log::warn!("stopped before leaving was complete"),
+        () = signals.stop() => log::warn!("stopped before leaving was complete"),
     }
 }
 
--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -255,15 +255,18 @@
         output
     }
 
-    /// Tells whether any target that takes new flows answers, as far as is known.
-    pub fn reaches_any(&self) -> bool {
-        let mut takers =
-            self.targets.indices().map(|index| self.targets.get(index)).filter(|it| it.takes_new());
-        takers.by_ref().any(|target| !target.silence.is_down()) || !self.has_takers()
+    /// Replaces the bounds that the settings tell.
+    pub fn set_bounds(&mut self, cold: ColdBound, outage_bound: Duration) {
+        self.setup.cold = cold;
+        self.setup.outage_bound = outage_bound;
     }
 
-    fn has_takers(&self) -> bool {
-        self.targets.indices().any(|index| self.targets.get(index).takes_new())
+    /// Tells whether any target that takes new flows answers, as far as is known; it is so without
+    /// any such target.
+    pub fn reaches_any(&self) -> bool {
+        let targets = self.targets.indices().map(|index| self.targets.get(index));
+        let mut takers = targets.filter(|target| target.takes_new()).peekable();
+        takers.peek().is_none() || takers.any(|target| !target.silence.is_down())
     }
 
     /// Takes the outcome of a health check.
--- a/lib/src/cookie_entry.rs
+++ b/lib/src/cookie_entry.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::admin::{self, AdminPages};
-use crate::cold_share::ColdBound;
 use crate::cookie_door::{CookieDoorSetup, DueCheck};
-use crate::cookie_instance::{CookieInstance, CookieInstanceSetup};
+use crate::cookie_instance::{cold_bound, CookieInstance, CookieInstanceSetup};
 use crate::directory_reader;
 use crate::entry::{bind_tcp, bind_udp, epoch, local, EntryError, DATAGRAM_BYTES};
 use crate::health_check::check;
@@ -40,7 +40,7 @@
     flow: SocketAddr,
     peer: SocketAddr,
     admin: SocketAddr,
-    grace: Duration,
+    grace: Mutex<Duration>,
     _tasks: JoinSet<()>,
 }
 
@@ -97,7 +97,7 @@
             flow: flow_address,
             peer: peer_address,
             admin: admin_address,
-            grace: settings.stop_grace,
+            grace: Mutex::new(settings.stop_grace),
             _tasks: tasks,
         })
     }
@@ -122,11 +122,17 @@
         self.admin
     }
 
+    /// Takes changed settings, as far as a running instance can.
+    pub fn reload(&self, settings: &Settings) {
+        *self.grace.lock() = settings.stop_grace;
+        self.instance.reload(settings);
+    }
+
     /// Leaves in a planned way: tells the fabric and the others, and forwards what still comes.
     pub async fn leave(self) {
         let begun = Instant::now();
         self.instance.leave(begun);
-        let end = begun + self.grace.saturating_sub(LEAVE_MARGIN);
+        let end = begun + self.grace.lock().saturating_sub(LEAVE_MARGIN);
         loop {
             tokio::time::sleep(LEAVE_LOOK).await;
             let now = Instant::now();
@@ -144,7 +150,7 @@
         id: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
         flow_key: settings.flow_key,
-        cold: ColdBound { multiplier: settings.cold_multiplier, slack: settings.cold_slack },
+        cold: cold_bound(settings),
         outage_bound: settings.outage_bound,
     }
 }
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::byte_budget::ByteBudget;
+use crate::cold_share::ColdBound;
 use crate::config_tree::children;
 use crate::cookie_door::{CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, DueCheck};
 use crate::decision_log::DecisionLog;
@@ -31,6 +32,7 @@
 use crate::reader_choice::{rank, ReaderChoice, FIRST_START_WAIT, READING_INTERVAL, START_WAIT};
 use crate::route::{DirectoryRecord, Part, RecordBody};
 use crate::segment::{Segment, SegmentForm};
+use crate::settings::Settings;
 use crate::view::{Member, MemberState, View};
 
 /// Instances to which an instance passes on a change of several datagrams; few, since each costs the
@@ -194,6 +196,12 @@
         f(&self.door.lock())
     }
 
+    /// Takes changed settings, as far as a running instance can.
+    pub fn reload(&self, settings: &Settings) {
+        self.door.lock().set_bounds(cold_bound(settings), settings.outage_bound);
+        self.link.set_speed(settings.link_mbps);
+    }
+
     /// Tells whether the instance can serve: it has a directory, reaches targets, and is not
     /// leaving. Callers of an instance that is not ready are sent to others.
     pub fn is_ready(&self) -> bool {
@@ -685,6 +693,11 @@
     }
 }
 
+/// Returns the bound of cold targets that settings tell.
+pub fn cold_bound(settings: &Settings) -> ColdBound {
+    ColdBound { multiplier: settings.cold_multiplier, slack: settings.cold_slack }
+}
+
 fn records_message(records: RecordsMessage) -> Message {
     Message::Directory(DirectoryMessage::Records(records))
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -123,6 +123,7 @@
 pub mod segment;
 pub mod service_targets;
 pub mod settings;
+pub mod settings_file;
 pub mod settings_reference;
 pub mod settings_spec;
 pub mod share;
--- a/lib/src/paced_sender.rs
+++ b/lib/src/paced_sender.rs
@@ -28,11 +28,16 @@
 impl PacedSender {
     /// Creates a sender for a link of `link_mbps` megabits a second.
     pub fn new(link_mbps: f64) -> Self {
-        let rate = (link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64 / LINK_SHARE;
-        let budget = ByteBudget::new(rate.max(1), (rate / BURST_SHARE).max(1));
+        let rate = rate(link_mbps);
+        let budget = ByteBudget::new(rate, (rate / BURST_SHARE).max(1));
         Self { waiting: VecDeque::new(), waiting_bytes: 0, budget }
     }
 
+    /// Takes another speed of the link, in megabits a second.
+    pub fn set_speed(&mut self, link_mbps: f64) {
+        self.budget.set_rate(rate(link_mbps));
+    }
+
     /// Adds a datagram, and tells whether there was room for it.
     pub fn push(&mut self, to: SocketAddr, buf: Arc<[u8]>) -> bool {
         if self.waiting_bytes + buf.len() > MAX_WAITING_BYTES {
@@ -55,3 +60,8 @@
         due
     }
 }
+
+/// Returns the bytes a second that large messages may use of a link.
+fn rate(link_mbps: f64) -> u64 {
+    ((link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE) as u64 / LINK_SHARE).max(1)
+}
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -65,6 +65,11 @@
         self.sealer.raise_epoch(epoch);
     }
 
+    /// Takes another speed of the link, in megabits a second.
+    pub fn set_speed(&self, link_mbps: f64) {
+        self.paced.lock().set_speed(link_mbps);
+    }
+
     /// Sends a message to some addresses.
     pub fn send(&self, to: impl IntoIterator<Item = SocketAddr>, message: Message) {
         let Some(buf) = self.seal(message) else { return };
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -127,13 +127,7 @@
     ///
     /// Returns every fault of the file at once.
     pub fn read(file: &Path) -> Result<Self, SettingsError> {
-        let unreadable =
-            |reason: String| SettingsError::Unreadable { file: file.to_owned(), reason };
-        let bytes = std::fs::read(file).map_err(|err| unreadable(err.to_string()))?;
-        let text = String::from_utf8(bytes).map_err(|err| {
-            let at = err.utf8_error().valid_up_to();
-            unreadable(format!("not UTF-8 at byte {at}; save the file as UTF-8"))
-        })?;
+        let text = read_text(file)?;
         Self::parse(file, &text)
     }
 
@@ -157,6 +151,20 @@
     }
 }
 
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// Returns why it cannot be read.
+pub(crate) fn read_text(file: &Path) -> Result<String, SettingsError> {
+    let unreadable = |reason: String| SettingsError::Unreadable { file: file.to_owned(), reason };
+    let bytes = std::fs::read(file).map_err(|err| unreadable(err.to_string()))?;
+    String::from_utf8(bytes).map_err(|err| {
+        let at = err.utf8_error().valid_up_to();
+        unreadable(format!("not UTF-8 at byte {at}; save the file as UTF-8"))
+    })
+}
+
 struct Source {
     ini: Ini,
     lines: Vec<(usize, String, String)>,
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -59,7 +59,7 @@
         entry.ini:2: [instance] name: "entry 1" is no name: use 1 to 63 letters, digits, '-', '_' or '.'
         entry.ini:4: [listen] flow: "localhost" is no IP address and port, such as 10.0.0.1:6080
         entry.ini:5: [listen] peer: must name an IP number that other instances reach
-        entry.ini:6: [listen] colour: unknown key; [listen] has flow, peer, request, admin
+        entry.ini:6: [listen] colour: unknown key; [listen] has flow, peer, peer_advertised, link_mbps, request, admin
         entry.ini:8: [flows] capacity: "5 flows" is no whole number from 1000 to 4000000
         entry.ini:10: [keys] flow: needs 32 hexadecimal digits, has 4 characters"#]]
     .assert_eq(&fault(text));
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -16,6 +16,10 @@
 const DEADLINE: Duration = Duration::from_secs(5);
 const LONG_FLOW_REQUESTS: u64 = 6;
 const LONG_FLOW_PAUSE: Duration = Duration::from_millis(400);
+/// Addresses whose routes stay for the whole run; they come first.
+const LASTING_SERVICES: usize = 2;
+/// One in this many flows goes to a route that was added, and perhaps dropped again.
+const EXTRA_SHARE: u64 = 8;
 const WORK_MS: u64 = 20;
 const DOWNLOAD_BYTES: u32 = 80_000;
 const ANSWER_BYTES: u32 = 4_000;
@@ -77,7 +81,12 @@
         let hosts = &self.setup.hosts;
         let host = Arc::clone(hosts.get(random.below(hosts.len() as u64) as usize)?);
         let services = self.setup.services.lock().clone();
-        let service = *services.get(random.below(services.len() as u64) as usize)?;
+        let service = match services.get(LASTING_SERVICES..) {
+            Some(extra) if !extra.is_empty() && random.below(EXTRA_SHARE) == 0 => {
+                extra[random.below(extra.len() as u64) as usize]
+            }
+            _ => *services.get(random.below(LASTING_SERVICES as u64) as usize)?,
+        };
         let (count, answer_bytes, body_bytes) = match random.below(4) {
             0 | 1 => (LONG_FLOW_REQUESTS, ANSWER_BYTES, 0),
             2 => (1, ANSWER_BYTES, UPLOAD_BYTES),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -8,6 +8,9 @@
 use bpaf::Bpaf;
 use hollyhead_soak::run::{play, RunSetup};
 
+/// Longest fault and some time in which all is served again.
+const CALM_END: Duration = Duration::from_secs(20);
+
 /// Runs instances as separate processes and injects faults from outside
 ///
 /// Example: hollyhead-soak --seed 1 --count 50
@@ -74,6 +77,7 @@
             flows_per_second: options.flows,
             time: Duration::from_secs(options.time),
             gap: Duration::from_millis(options.gap),
+            calm_end: CALM_END,
         };
         let verdict = play(&setup).await?;
         println!(
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -19,8 +19,6 @@
 const START_PATIENCE: Duration = Duration::from_secs(30);
 /// Time of load before the first fault.
 const CALM_START: Duration = Duration::from_secs(2);
-/// Time of load after the last fault has ended: long enough to show that all is served again.
-const CALM_END: Duration = Duration::from_secs(20);
 /// Time between two judgements.
 const JUDGE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -43,6 +41,8 @@
     pub time: Duration,
     /// Mean time between two faults.
     pub gap: Duration,
+    /// Time of load after the recovery from the last fault, in which all is served again.
+    pub calm_end: Duration,
 }
 
 /// Outcome of a run.
@@ -124,7 +124,7 @@
     };
     let mut faults = plan(setup.seed, &shape).into_iter().peekable();
     let begun = Instant::now() + CALM_START;
-    let end = begun + setup.time + RECOVERY + CALM_END;
+    let end = begun + setup.time + RECOVERY + setup.calm_end;
     let mut injected = 0;
     let mut next_judgement = begun;
     while Instant::now() < end {
