--- a/lib/src/settings_file.rs
+++ b/lib/src/settings_file.rs
@@ -30,7 +30,7 @@
     /// Returns every fault of a changed file, once.
     pub fn reread(&mut self) -> Option<Result<Settings, SettingsError>> {
         let read = read_text(&self.path);
-        let text = read.as_ref().map(String::clone).map_err(ToString::to_string);
+        let text = read.as_ref().cloned().map_err(ToString::to_string);
         if text == self.last {
             return None;
         }
