--- a/lib/src/admin.rs
+++ b/lib/src/admin.rs
@@ -69,7 +69,7 @@
 impl AdminPages for CookieInstance {
     fn page(&self, path: &str, _query: &str) -> Response<Full<Bytes>> {
         match path {
-            "/metrics" => text(StatusCode::OK, self.metrics.render()),
+            "/metrics" => text(StatusCode::OK, self.render_metrics(Instant::now())),
             "/healthz" => text(StatusCode::OK, "ok\n".into()),
             "/readyz" => readiness(self.is_ready()),
             "/status" => json(&self.status(Instant::now())),
--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -152,6 +152,15 @@
     pub outage_bound: Duration,
 }
 
+/// Time that a caller's packet shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowTiming {
+    /// From a flow's first opening packet to its next packet.
+    Opened(Duration),
+    /// From a caller's last new data to the first sign of an answer.
+    Answered(Duration),
+}
+
 /// Flow door for packets with cookies.
 pub struct CookieDoor {
     setup: CookieDoorSetup,
@@ -162,6 +171,7 @@
     view: Arc<View>,
     routing_age_from: Option<Instant>,
     changes: Vec<ConditionChange>,
+    timings: Vec<FlowTiming>,
 }
 
 impl CookieDoor {
@@ -176,6 +186,7 @@
             view: Arc::default(),
             routing_age_from: None,
             changes: Vec::new(),
+            timings: Vec::new(),
         }
     }
 
@@ -269,6 +280,12 @@
         takers.peek().is_none() || takers.any(|target| !target.silence.is_down())
     }
 
+    /// Returns the number of targets that take new flows and do not answer.
+    pub fn count_down(&self) -> usize {
+        let targets = self.targets.indices().map(|index| self.targets.get(index));
+        targets.filter(|target| target.takes_new() && target.silence.is_down()).count()
+    }
+
     /// Takes the outcome of a health check.
     pub fn on_check(&mut self, target: &str, outcome: CheckOutcome, now: Instant) {
         let Some(index) = self.targets.index(target) else { return };
@@ -316,6 +333,11 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns the times that packets showed since the last call.
+    pub fn take_timings(&mut self) -> Vec<FlowTiming> {
+        std::mem::take(&mut self.timings)
+    }
+
     fn update_outages(&mut self, directory: &Directory, now: Instant) {
         let out: Vec<_> = directory.records(Part::Outages).map(|(name, _)| name.clone()).collect();
         self.targets.set_outages(|data_centre| out.contains(data_centre), now);
@@ -436,6 +458,8 @@
             opens: false,
         };
         let seen = self.watch.note_segment(segment, index, now);
+        self.timings.extend(seen.open_time.map(FlowTiming::Opened));
+        self.timings.extend(seen.answer_time.map(FlowTiming::Answered));
         if seen.is_progress {
             let finding = self.targets.get_mut(index).silence.note_progress();
             self.note_finding(index, finding, now, true);
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -14,7 +14,9 @@
 use crate::byte_budget::ByteBudget;
 use crate::cold_share::ColdBound;
 use crate::config_tree::children;
-use crate::cookie_door::{CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, DueCheck};
+use crate::cookie_door::{
+    CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, DueCheck, FlowTiming,
+};
 use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
 use crate::directory_exchange::{DirectoryExchange, RecordsOutcome};
@@ -23,8 +25,9 @@
 use crate::gossip::{Gossip, GossipMessage, Outgoing};
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, Epoch, InstanceId, Version};
+use crate::logging;
 use crate::message::{EpochNotice, Frame, Message};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, PartLabel};
 use crate::network::Network;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
@@ -254,13 +257,21 @@
             }
         };
         *self.last_packet.lock() = now;
-        let verdict = self.door.lock().on_segment(&segment, now);
+        let (verdict, timings) = {
+            let mut door = self.door.lock();
+            (door.on_segment(&segment, now), door.take_timings())
+        };
+        self.observe(&timings);
         match verdict {
             CookieVerdict::Forward { to, token, cookie, opens } => {
                 out.clear();
                 self.form.hand_over(buf, token, cookie, out);
                 self.flow_network.send(to, out);
-                let outcome = if opens { "opened" } else { "forwarded" };
+                let outcome = match (opens, segment.ack) {
+                    (false, _) => "forwarded",
+                    (true, 0) => "opened",
+                    (true, _) => "opened_again",
+                };
                 Metrics::count(&self.metrics.packets, outcome);
                 if opens {
                     self.log_decision("placed", "opened", &segment, now);
@@ -281,6 +292,39 @@
         }
     }
 
+    fn observe(&self, timings: &[FlowTiming]) {
+        for timing in timings {
+            match timing {
+                FlowTiming::Opened(time) => self.metrics.flow_open.observe(time.as_secs_f64()),
+                FlowTiming::Answered(time) => {
+                    self.metrics.request_answer.observe(time.as_secs_f64());
+                }
+            }
+        }
+    }
+
+    /// Returns the metrics as text, with what is only counted when somebody asks.
+    pub fn render_metrics(&self, now: Instant) -> String {
+        let metrics = &self.metrics;
+        {
+            let knowledge = self.knowledge.lock();
+            for part in Part::ALL {
+                let age =
+                    knowledge.directory.age(part, now).map_or(-1, |age| age.as_millis() as i64);
+                metrics.directory_age.get_or_create(&PartLabel { part: part.kind() }).set(age);
+            }
+            metrics.is_reading.set(knowledge.choice.is_reading().into());
+        }
+        {
+            let door = self.door.lock();
+            metrics.flows.set(door.watch().len() as i64);
+            metrics.targets_down.set(door.count_down() as i64);
+        }
+        metrics.members.set(self.view().members().len() as i64);
+        metrics.log_lines_lost.set(logging::lost_lines() as i64);
+        metrics.render()
+    }
+
     /// Handles a datagram from another instance.
     pub fn on_peer_datagram(&self, now: Instant, from: SocketAddr, buf: &[u8]) {
         let (origin, body) = match self.link.open(buf) {
@@ -366,8 +410,9 @@
 
     /// Tells whether the instance is to begin to follow the store.
     pub fn should_read(&self, now: Instant) -> bool {
-        let rank = self.rank();
-        self.knowledge.lock().choice.should_start(rank, now)
+        let is_due = |rank| self.knowledge.lock().choice.should_start(rank, now);
+        // Whether even the first in rank would is cheaper to know than the rank.
+        is_due(0) && is_due(self.rank())
     }
 
     /// Tells whether the instance is to stop following the store.
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -11,7 +11,7 @@
 
 use crate::collections::HashSet;
 use crate::ids::Version;
-use crate::route::{DirectoryRecord, Part, RecordBody, RegistrationState};
+use crate::route::{is_removed, DirectoryRecord, Part, RecordBody, RegistrationState};
 
 /// Time for which removed records are kept: longer than any flow lasts, so that packets of open
 /// flows still find their target.
@@ -103,7 +103,7 @@
             if known.is_some_and(|known| known.version >= record.version) {
                 continue;
             }
-            let is_gone = is_removed(record.body.as_ref());
+            let is_gone = record.is_removed();
             let removed_at = is_gone.then_some(now);
             let entry = Stored { version: record.version, body: record.body, removed_at };
             stored.insert(record.name, entry);
@@ -199,11 +199,3 @@
         _ => None,
     }
 }
-
-fn is_removed(body: Option<&RecordBody>) -> bool {
-    match body {
-        None => true,
-        Some(RecordBody::Registration(it)) => it.state == RegistrationState::Gone,
-        Some(_) => false,
-    }
-}
--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -10,7 +10,7 @@
 use crate::ids::Version;
 use crate::metrics::Metrics;
 use crate::platform::{Listing, Object, Platform, PlatformError};
-use crate::route::{DirectoryRecord, Part, RecordBody, Registration, RegistrationState, Routing};
+use crate::route::{DirectoryRecord, Part, RecordBody, Registration, Routing};
 
 /// How long a watch waits for a change; a connection that fell silent is noticed after that.
 pub const WATCH_TIME: Duration = Duration::from_millis(2_000);
@@ -134,7 +134,7 @@
         let records = decode(part, listing)?;
         let mut differences = self.instance.differences(part, version, records);
         if keeps_missing {
-            differences.retain(|record| !is_missing(record));
+            differences.retain(|record| !record.is_removed());
         }
         self.instance.publish(part, differences, version, asked, audience);
         Ok(version)
@@ -219,14 +219,6 @@
     Ok(Some(RecordBody::Registration(registration)))
 }
 
-fn is_missing(record: &DirectoryRecord) -> bool {
-    match &record.body {
-        None => true,
-        Some(RecordBody::Registration(it)) => it.state == RegistrationState::Gone,
-        Some(_) => false,
-    }
-}
-
 fn pause(part: Part) -> Duration {
     match part {
         Part::Targets => TARGETS_PAUSE,
--- a/lib/src/flow_watch.rs
+++ b/lib/src/flow_watch.rs
@@ -21,6 +21,8 @@
 pub struct Opening {
     /// Targets that it was handed to, the last one last.
     pub tried: Vec<usize>,
+    /// When it was first handed to one.
+    pub since: Instant,
     /// When it was last handed to one.
     pub at: Instant,
     /// Whether the last target was told to be silent because of it.
@@ -43,6 +45,10 @@
     pub is_progress: bool,
     /// The caller repeats data that it has sent before.
     pub is_repeat: bool,
+    /// Time from the first opening packet to this one, if it is the first that follows.
+    pub open_time: Option<Duration>,
+    /// Time from the last new data of the caller to this sign of an answer.
+    pub answer_time: Option<Duration>,
 }
 
 /// Flows that this instance has seen packets of.
@@ -61,7 +67,8 @@
 
     /// Notes that an opening was handed to a target.
     pub fn note_opening(&mut self, ends: FlowEnds, target: usize, now: Instant) {
-        let fresh = || Opening { tried: Vec::with_capacity(1), at: now, is_judged: false };
+        let fresh =
+            || Opening { tried: Vec::with_capacity(1), since: now, at: now, is_judged: false };
         let opening = self.openings.entry(ends).or_insert_with(fresh);
         opening.tried.push(target);
         opening.at = now;
@@ -70,19 +77,23 @@
 
     /// Returns the requests that are believed to run at a target through this instance.
     pub fn running(&self, target: usize) -> u32 {
-        let openings = self.running.get(&target).copied();
-        openings.unwrap_or_default()
+        self.running.get(&target).copied().unwrap_or_default()
     }
 
     /// Notes a packet of an open flow.
     pub fn note_segment(&mut self, segment: &Segment, target: usize, now: Instant) -> Observation {
-        let was_opening = self.openings.remove(&segment.ends).is_some();
+        let opening = self.openings.remove(&segment.ends);
+        let mut seen = Observation {
+            is_progress: opening.is_some(),
+            open_time: opening.map(|opening| now.saturating_duration_since(opening.since)),
+            ..Observation::default()
+        };
         if segment.control.aborts || segment.control.ends {
             self.close(&segment.ends);
-            return Observation { is_progress: was_opening, is_repeat: false };
+            return seen;
         }
         if self.flows.len() >= MAX_WATCHED && !self.flows.contains_key(&segment.ends) {
-            return Observation { is_progress: was_opening, is_repeat: false };
+            return seen;
         }
         let fresh = || OpenFlow {
             target,
@@ -95,21 +106,22 @@
         let flow = self.flows.entry(segment.ends).or_insert_with(fresh);
         flow.last_seen = now;
         let has_data = segment.data_len > 0;
-        let is_repeat = has_data && !is_new && is_before(segment.seq, flow.newest_seq);
-        let is_answer = is_before(flow.last_ack, segment.ack);
-        if is_answer {
+        seen.is_repeat = has_data && !is_new && is_before(segment.seq, flow.newest_seq);
+        if is_before(flow.last_ack, segment.ack) {
+            seen.is_progress = true;
             flow.last_ack = segment.ack;
-            if flow.running_since.take().is_some() {
+            if let Some(since) = flow.running_since.take() {
+                seen.answer_time = Some(now.saturating_duration_since(since));
                 decrease(&mut self.running, flow.target);
             }
         }
-        if has_data && !is_repeat {
+        if has_data && !seen.is_repeat {
             flow.newest_seq = segment.seq.wrapping_add(u32::from(segment.data_len));
             if flow.running_since.replace(now).is_none() {
                 *self.running.entry(flow.target).or_default() += 1;
             }
         }
-        Observation { is_progress: was_opening || is_answer, is_repeat }
+        seen
     }
 
     /// Returns the openings that have become unanswered: the flow's last target each.
--- a/lib/src/http_call.rs
+++ b/lib/src/http_call.rs
@@ -86,6 +86,18 @@
     serde_json::from_slice(body).map_err(nonsense)
 }
 
+/// Returns the failure of a call for one object that a status stands for.
+pub fn object_error(status: StatusCode, kind: &str, name: &str) -> PlatformError {
+    let (kind, name) = (kind.into(), name.into());
+    match status {
+        StatusCode::NOT_FOUND => PlatformError::NotFound { kind, name },
+        StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => {
+            PlatformError::Conflict { kind, name }
+        }
+        status => unexpected(status),
+    }
+}
+
 /// Returns the failure that an unexpected status stands for.
 pub fn unexpected(status: StatusCode) -> PlatformError {
     if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
--- a/lib/src/http_platform.rs
+++ b/lib/src/http_platform.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::http_call::{decode, unexpected, Answer, HttpCaller};
+use crate::http_call::{decode, object_error, unexpected, Answer, HttpCaller};
 use crate::ids::Version;
 use crate::platform::{ListedInstance, Listing, Object, Platform, PlatformError, Precondition};
 use crate::plugin::PlatformPlugin;
@@ -128,12 +128,3 @@
         self.read("/v1/instances", CALL_TIMEOUT).await
     }
 }
-
-fn object_error(status: StatusCode, kind: &str, name: &str) -> PlatformError {
-    let (kind, name) = (kind.into(), name.into());
-    match status {
-        StatusCode::NOT_FOUND => PlatformError::NotFound { kind, name },
-        StatusCode::PRECONDITION_FAILED => PlatformError::Conflict { kind, name },
-        status => unexpected(status),
-    }
-}
--- a/lib/src/log_writer.rs
+++ b/lib/src/log_writer.rs
@@ -14,6 +14,7 @@
 pub struct LogWriter {
     lines: SyncSender<Vec<u8>>,
     lost: Arc<AtomicU64>,
+    total: Arc<AtomicU64>,
 }
 
 impl LogWriter {
@@ -29,7 +30,12 @@
         thread::Builder::new()
             .name("log".into())
             .spawn(move || write_all(&rx, output, &counter))?;
-        Ok(Self { lines, lost })
+        Ok(Self { lines, lost, total: Arc::default() })
+    }
+
+    /// Returns the counter of all lines that did not fit so far.
+    pub fn total_lost(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.total)
     }
 
     /// Returns the lines that were left out and not reported yet.
@@ -44,6 +50,7 @@
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.lost.fetch_add(1, Ordering::Relaxed);
+                self.total.fetch_add(1, Ordering::Relaxed);
             }
         }
         Ok(buf.len())
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -1,6 +1,8 @@
 //! Logs as JSON lines on standard output, written so that they never hold up the instance.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::SystemTime;
 
 use log::kv::{Key, Value, VisitSource};
@@ -9,6 +11,8 @@
 use crate::ids::{DataCentreId, InstanceId};
 use crate::log_writer::LogWriter;
 
+static LOST: OnceLock<Arc<AtomicU64>> = OnceLock::new();
+
 /// Sets logging up; `RUST_LOG` chooses what is logged, `info` and above by default.
 ///
 /// Calling it again changes nothing.
@@ -33,6 +37,7 @@
     });
     match LogWriter::start(Box::new(std::io::stdout())) {
         Ok(writer) => {
+            let _first_stays = LOST.set(writer.total_lost());
             builder.target(env_logger::Target::Pipe(Box::new(writer)));
         }
         Err(err) => eprintln!("logs are written directly: {err}"),
@@ -42,6 +47,11 @@
     }
 }
 
+/// Returns the number of log lines that were left out because nobody took them.
+pub fn lost_lines() -> u64 {
+    LOST.get().map_or(0, |lost| lost.load(Ordering::Relaxed))
+}
+
 struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields<'_> {
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -152,6 +152,22 @@
     }
 }
 
+impl DirectoryRecord {
+    /// Tells whether the store no longer has the entry.
+    pub fn is_removed(&self) -> bool {
+        is_removed(self.body.as_ref())
+    }
+}
+
+/// Tells whether contents stand for an entry that the store no longer has.
+pub fn is_removed(body: Option<&RecordBody>) -> bool {
+    match body {
+        None => true,
+        Some(RecordBody::Registration(it)) => it.state == RegistrationState::Gone,
+        Some(_) => false,
+    }
+}
+
 impl Routing {
     /// Splits the document into records of one version each.
     pub fn into_records(self) -> Vec<(SmolStr, RecordBody)> {
--- a/lib/tests/test_cookie_door.rs
+++ b/lib/tests/test_cookie_door.rs
@@ -9,7 +9,7 @@
 
 use hollyhead::cold_share::ColdBound;
 use hollyhead::cookie_door::{
-    CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, ResetReason, OUTAGE_MARGIN,
+    CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, FlowTiming, ResetReason, OUTAGE_MARGIN,
 };
 use hollyhead::directory::Directory;
 use hollyhead::directory_message::TargetCondition;
@@ -472,3 +472,21 @@
     bed.register(Registration { started: 2, ..registration(1, "quaydesk", "a") });
     assert!((0..8).any(|_| bed.open_answered(MOVES).1 == 1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn timings_of_a_flow_tell_its_opening_and_its_answer() {
+    let mut bed = Bed::of_six();
+    let ends = bed.ends(FEEDS);
+    bed.syn(ends, 0);
+    tokio::time::advance(Duration::from_millis(200)).await;
+    let (_, cookie) = placed(bed.syn(ends, 1));
+    tokio::time::advance(Duration::from_millis(10)).await;
+    bed.data(ends, 101, 500, cookie);
+    assert_eq!(bed.door.take_timings(), [FlowTiming::Opened(Duration::from_millis(210))]);
+
+    tokio::time::advance(Duration::from_millis(30)).await;
+    bed.data(ends, 101, 500, cookie);
+    assert!(bed.door.take_timings().is_empty(), "data that is sent again is no answer");
+    bed.data(ends, 201, 4_500, cookie);
+    assert_eq!(bed.door.take_timings(), [FlowTiming::Answered(Duration::from_millis(30))]);
+}
