--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -23,7 +23,7 @@
 use crate::route_table::{Lookup, RouteTable};
 use crate::segment::Segment;
 use crate::silence::{Finding, ANSWER_TIME};
-use crate::target_table::TargetTable;
+use crate::target_table::{RegistrationChange, TargetTable};
 use crate::view::{Member, View};
 
 /// Time for which an opening is remembered: longer than a caller's last copy takes.
@@ -172,6 +172,7 @@
     routing_age_from: Option<Instant>,
     changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
+    registrations: Vec<(TargetId, RegistrationChange)>,
 }
 
 impl CookieDoor {
@@ -187,6 +188,7 @@
             routing_age_from: None,
             changes: Vec::new(),
             timings: Vec::new(),
+            registrations: Vec::new(),
         }
     }
 
@@ -217,7 +219,9 @@
             Part::Targets => {
                 for (_, body) in directory.records(Part::Targets) {
                     if let RecordBody::Registration(registration) = body {
-                        self.targets.update(registration, now);
+                        let change = self.targets.update(registration, now);
+                        let target = registration.target.clone();
+                        self.registrations.extend(change.map(|change| (target, change)));
                     }
                 }
                 self.update_outages(directory, now);
@@ -338,6 +342,11 @@
         std::mem::take(&mut self.timings)
     }
 
+    /// Returns the registrations that changed since the last call.
+    pub fn take_registrations(&mut self) -> Vec<(TargetId, RegistrationChange)> {
+        std::mem::take(&mut self.registrations)
+    }
+
     fn update_outages(&mut self, directory: &Directory, now: Instant) {
         let out: Vec<_> = directory.records(Part::Outages).map(|(name, _)| name.clone()).collect();
         self.targets.set_outages(|data_centre| out.contains(data_centre), now);
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -17,11 +17,11 @@
 use crate::cookie_door::{
     CookieDoor, CookieDoorSetup, CookieVerdict, DropReason, DueCheck, FlowTiming,
 };
-use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
 use crate::directory_exchange::{DirectoryExchange, RecordsOutcome};
 use crate::directory_message::{DirectoryMessage, PartStatus, RecordsMessage};
 use crate::envelope::{EnvelopeError, PeerKey};
+use crate::flow_log::{Decision, FlowLog};
 use crate::gossip::{Gossip, GossipMessage, Outgoing};
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, Epoch, InstanceId, Version};
@@ -115,7 +115,7 @@
     is_first_start: bool,
     is_leaving: AtomicBool,
     last_packet: Mutex<Instant>,
-    decisions: DecisionLog,
+    log: FlowLog,
     answers: Mutex<ByteBudget>,
     /// Metrics.
     pub metrics: Metrics,
@@ -173,7 +173,7 @@
             is_first_start: setup.is_first_start,
             is_leaving: AtomicBool::new(false),
             last_packet: Mutex::new(now),
-            decisions: DecisionLog::default(),
+            log: FlowLog::default(),
             answers: Mutex::new(ByteBudget::new(ANSWER_BYTES_PER_SECOND, ANSWER_BURST_BYTES)),
             metrics,
         }
@@ -512,18 +512,16 @@
     fn apply(&self, directory: &Directory, part: Part, now: Instant) {
         let mut door = self.door.lock();
         door.update(directory, part, now);
-        if part == Part::Routing {
-            let version = door.routes().version();
-            log::info!(version, routes = door.routes().len(); "routing in force");
-            self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        }
+        let registrations = door.take_registrations();
+        self.log.applied(part, directory, &door, &registrations, now);
+        let version = i64::try_from(door.routes().version()).unwrap_or(i64::MAX);
+        self.metrics.config_version.set(version);
     }
 
     fn rank(&self) -> u32 {
         rank(&self.view(), &self.id)
     }
 
-    /// Logs a decision on a flow with what decided it, within the bound of its kind.
     fn log_decision(
         &self,
         outcome: &'static str,
@@ -531,24 +529,7 @@
         segment: &Segment,
         now: Instant,
     ) {
-        let Some(left_out) = self.decisions.pass(reason, now) else { return };
-        let door = self.door.lock();
-        let chosen = match door.watch().opening(&segment.ends).and_then(|it| it.tried.last()) {
-            Some(index) if segment.control.opens => Some(*index),
-            _ => door.targets().named_by(segment.cookie),
-        };
-        let entry = chosen.map(|index| door.targets().get(index));
-        let target = entry.map_or("-", |entry| entry.registration.target.as_str());
-        let condition = entry.map(|entry| entry.silence.condition());
-        let copy = if segment.control.opens { segment.ack } else { 0 };
-        log::info!(
-            caller:% = segment.ends.caller, service:% = segment.ends.service, outcome, reason,
-            target, condition:? = condition, copy, cookie = segment.cookie, seq = segment.seq,
-            routing_version = door.routes().version(),
-            routing_age_ms = door.routing_age(now).map_or(-1, |age| age.as_millis() as i64),
-            left_out;
-            "decision on a flow"
-        );
+        self.log.decision(Decision { outcome, reason }, segment, &self.door.lock(), now);
     }
 
     fn reset(&self, segment: &Segment, out: &mut Vec<u8>) {
--- /dev/null
+++ b/lib/src/log_chain.rs
@@ -0,0 +1,162 @@
+//! Reads log lines of instances and finds those that explain what became of a flow.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::time::{Duration, SystemTime};
+
+use serde_json::Value;
+use smol_str::SmolStr;
+
+/// Time around a flow's own lines in which other lines may explain them.
+pub const CONTEXT: Duration = Duration::from_secs(6);
+const DECISION: &str = "decision on a flow";
+const CONDITION: &str = "condition of a target changed";
+const CHECKED: &str = "health of a target checked";
+const REGISTRATION: &str = "registration changed";
+const OUTAGES: &str = "data centres out";
+/// Messages that tell a change of what an instance knows or of its own state.
+const INSTANCE_CHANGES: [&str; 12] = [
+    OUTAGES,
+    "started",
+    "leaving; a second SIGTERM stops at once",
+    "left",
+    "routing in force",
+    "following the store",
+    "store lost",
+    "settings reloaded",
+    "changed settings refused; the former ones stay in force",
+    "history is gone; listing again",
+    "another instance follows the store; this one stops",
+    "log lines lost",
+];
+
+/// A log line of an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogLine {
+    /// Time of day.
+    pub time: SystemTime,
+    /// Instance.
+    pub instance: SmolStr,
+    /// Message.
+    pub message: SmolStr,
+    /// All fields as text.
+    pub fields: BTreeMap<String, String>,
+}
+
+impl LogLine {
+    /// Reads a line; what stands before its object, such as a collector's own time, is skipped.
+    /// `None` when the line is no log line of an instance.
+    pub fn parse(line: &str) -> Option<Self> {
+        let object: Value = serde_json::from_str(line.get(line.find('{')?..)?).ok()?;
+        let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+        let fields: BTreeMap<_, _> =
+            object.as_object()?.iter().map(|(key, value)| (key.clone(), text(value))).collect();
+        Some(Self {
+            time: humantime::parse_rfc3339_weak(fields.get("time")?).ok()?,
+            instance: fields.get("instance")?.into(),
+            message: fields.get("message")?.into(),
+            fields,
+        })
+    }
+
+    fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("-", String::as_str)
+    }
+
+    fn is_decision_on(&self, caller: &str) -> bool {
+        self.message == DECISION && self.field("caller") == caller
+    }
+}
+
+/// Returns the lines on a caller's flow, and those around them that explain them: what instances
+/// said of its targets, and changes of the instances that carried it. In the order of their times.
+pub fn chain<'a>(lines: &'a [LogLine], caller: &str) -> Vec<&'a LogLine> {
+    let own: Vec<_> = lines.iter().filter(|line| line.is_decision_on(caller)).collect();
+    let times = || own.iter().map(|line| line.time);
+    let (Some(first), Some(last)) = (times().min(), times().max()) else { return Vec::new() };
+    let from = first.checked_sub(CONTEXT).unwrap_or(first);
+    let until = last + CONTEXT;
+    let targets: BTreeSet<_> = own.iter().map(|line| line.field("target")).collect();
+    let instances: BTreeSet<_> = own.iter().map(|line| &line.instance).collect();
+    let explains = |line: &LogLine| {
+        let is_of_target = [CONDITION, CHECKED, REGISTRATION].contains(&line.message.as_str())
+            && targets.contains(line.field("target"));
+        let is_of_instance =
+            INSTANCE_CHANGES.contains(&line.message.as_str()) && instances.contains(&line.instance);
+        (is_of_target || is_of_instance) && line.time >= from && line.time <= until
+    };
+    let mut chain: Vec<_> =
+        lines.iter().filter(|line| line.is_decision_on(caller) || explains(line)).collect();
+    chain.sort_by_key(|line| line.time);
+    chain
+}
+
+impl fmt::Display for LogLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = humantime::format_rfc3339_millis(self.time);
+        write!(f, "{time} {}: ", self.instance)?;
+        match self.message.as_str() {
+            DECISION => write_decision(self, f),
+            CONDITION => {
+                let source = if self.field("own") == "true" { "found out" } else { "heard" };
+                let (target, condition) = (self.field("target"), self.field("condition"));
+                write!(f, "{source} that target {target} is {}", condition.to_lowercase())
+            }
+            CHECKED => {
+                let (target, outcome) = (self.field("target"), self.field("outcome"));
+                write!(f, "checked target {target}: {}", outcome.to_lowercase())
+            }
+            REGISTRATION => {
+                let (target, change) = (self.field("target"), self.field("change"));
+                write!(f, "registration of target {target} changed: {change}")
+            }
+            OUTAGES => write!(f, "data centres out now: {}", self.field("out")),
+            "routing in force" => {
+                let (version, routes) = (self.field("version"), self.field("routes"));
+                write!(f, "took version {version} of the routing, {routes} routes")
+            }
+            "store lost" => write!(f, "lost the platform: {}", self.field("cause")),
+            message => write!(f, "{message}"),
+        }
+    }
+}
+
+fn write_decision(line: &LogLine, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(f, "{}", decision(line))?;
+    let (version, age) = (line.field("routing_version"), line.field("routing_age_ms"));
+    write!(f, "; target {}, routing {version} confirmed {age} ms ago", condition(line))?;
+    match line.field("left_out") {
+        "0" | "-" => Ok(()),
+        count => write!(f, "; {count} such lines before it were left out"),
+    }
+}
+
+fn decision(line: &LogLine) -> String {
+    let (caller, service) = (line.field("caller"), line.field("service"));
+    let (target, copy) = (line.field("target"), line.field("copy"));
+    let dropped = |why: &str| format!("dropped a packet of {caller}: {why}");
+    let reset = |why: &str| format!("reset {caller}: {why}");
+    match line.field("reason") {
+        "opened" => {
+            format!("handed the opening of {caller} to {service} (copy {copy}) to target {target}")
+        }
+        "no_route" => reset(&format!("there is no route for {service}")),
+        "route_removed" => reset(&format!("the route of {service} was removed")),
+        "no_target" => reset(&format!("no target of {service} takes new flows")),
+        "target_down" => reset(&format!("its target {target} does not answer")),
+        "unknown_cookie" => dropped("no known target has its cookie"),
+        "foreign_cookie" => dropped(&format!("its target {target} is of another service")),
+        "no_cookie" => dropped("it names no target"),
+        "route_in_doubt" => {
+            dropped(&format!("no route for {service}, and this may be out of date"))
+        }
+        "outage" => dropped(&format!("the data centre of target {target} is taken out")),
+        reason => dropped(reason),
+    }
+}
+
+fn condition(line: &LogLine) -> String {
+    let condition = line.field("condition");
+    let inner = condition.strip_prefix("Some(").and_then(|it| it.strip_suffix(')'));
+    inner.unwrap_or("unknown").to_lowercase()
+}
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -65,6 +65,49 @@
     }
 }
 
+/// How the registration of a target changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegistrationChange {
+    /// It is new.
+    Appeared,
+    /// The target started again.
+    Restarted,
+    /// The target takes new flows again.
+    Ready,
+    /// The target takes no new flows.
+    Draining,
+    /// The registration lapsed or was removed.
+    Gone,
+    /// Something else, such as its cold time.
+    Other,
+}
+
+impl RegistrationChange {
+    /// Returns the name of the change in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Appeared => "appeared",
+            Self::Restarted => "restarted",
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+            Self::Other => "other",
+        }
+    }
+
+    fn between(old: &Registration, new: &Registration) -> Self {
+        if old.started != new.started || old.address != new.address {
+            return Self::Restarted;
+        }
+        match new.state {
+            state if state == old.state => Self::Other,
+            RegistrationState::Ready => Self::Ready,
+            RegistrationState::Draining => Self::Draining,
+            RegistrationState::Gone => Self::Gone,
+        }
+    }
+}
+
 /// All targets that an instance knows. A target keeps its number for as long as it is known.
 #[derive(Debug)]
 pub struct TargetTable {
@@ -118,15 +161,21 @@
     }
 
     /// Takes a registration. A target that started again under its name is a fresh one, and one
-    /// that moved to another service gets another cookie.
-    pub fn update(&mut self, registration: &Registration, now: Instant) {
+    /// that moved to another service gets another cookie. Returns what changed.
+    pub fn update(
+        &mut self,
+        registration: &Registration,
+        now: Instant,
+    ) -> Option<RegistrationChange> {
         let Some(index) = self.index(&registration.target) else {
-            return self.insert(registration, now);
+            self.insert(registration, now);
+            return Some(RegistrationChange::Appeared);
         };
         if self.entries[index].registration == *registration {
-            return;
+            return None;
         }
         let entry = &mut self.entries[index];
+        let change = RegistrationChange::between(&entry.registration, registration);
         if entry.registration.service != registration.service {
             let cookie = self.cookies.cookie(&registration.service, &registration.target);
             self.by_cookie.remove(&entry.cookie);
@@ -137,15 +186,14 @@
             entry.cookie = cookie;
             self.by_service.entry(registration.service.clone()).or_default().push(index);
         }
-        let has_restarted = entry.registration.started != registration.started
-            || entry.registration.address != registration.address;
-        if has_restarted {
+        if change == RegistrationChange::Restarted {
             entry.silence = Silence::default();
         }
         entry.registration = registration.clone();
         if !registration.cold_left.is_zero() {
             entry.cold_until = Some(now + registration.cold_left + COLD_MARGIN);
         }
+        Some(change)
     }
 
     /// Marks the targets of data centres that are taken out.
