--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -5,9 +5,10 @@
 
 use tokio::time::Instant;
 
-use crate::cookie_instance::{Audience, CookieInstance};
+use crate::cookie_instance::CookieInstance;
 use crate::http_call::nonsense;
 use crate::ids::Version;
+use crate::instance_reader::Audience;
 use crate::metrics::Metrics;
 use crate::platform::{Listing, Object, Platform, PlatformError};
 use crate::route::{DirectoryRecord, Part, RecordBody, Registration, Routing};
--- /dev/null
+++ b/lib/src/instance_peers.rs
@@ -0,0 +1,246 @@
+//! Messages between an instance and the others.
+
+use std::net::SocketAddr;
+
+use tokio::time::Instant;
+
+use crate::config_tree::children;
+use crate::cookie_instance::CookieInstance;
+use crate::directory_exchange::{DirectoryExchange, RecordsOutcome};
+use crate::directory_message::{DirectoryMessage, PartStatus, RecordsMessage};
+use crate::envelope::EnvelopeError;
+use crate::gossip::{GossipMessage, Outgoing};
+use crate::ids::InstanceId;
+use crate::instance_reader::Knowledge;
+use crate::message::{EpochNotice, Frame, Message};
+use crate::metrics::Metrics;
+use crate::reader_choice::{rank, READING_INTERVAL};
+
+/// Instances to which an instance passes on a change of several datagrams; few, since each costs the
+/// link as much as receiving the change.
+const TREE_FAN_OUT: usize = 2;
+/// One in this many questions for changes goes to the reader.
+const READER_PULL_SHARE: u64 = 3;
+
+fn records_message(records: RecordsMessage) -> Message {
+    Message::Directory(DirectoryMessage::Records(records))
+}
+
+impl CookieInstance {
+    /// Asks other instances for the directory, as a fresh instance does.
+    pub fn ask_seeds(&self, now: Instant) {
+        let mut knowledge = self.knowledge.lock();
+        let Knowledge { directory, exchange, .. } = &mut *knowledge;
+        let Some(pull) = exchange.pull(directory, now) else { return };
+        self.link.send(self.seeds.iter().copied(), Message::Directory(pull));
+    }
+
+    /// Handles a datagram from another instance.
+    pub fn on_peer_datagram(&self, now: Instant, from: SocketAddr, buf: &[u8]) {
+        let (origin, body) = match self.link.open(buf) {
+            Ok(opened) => opened,
+            Err(err) => return self.refuse_datagram(from, &err),
+        };
+        match Frame::decode(body) {
+            Ok(Frame::Control(Message::Gossip(message))) => self.on_gossip(now, message),
+            Ok(Frame::Control(Message::Directory(message))) => {
+                self.on_directory(now, &origin.sender, from, message);
+            }
+            Ok(Frame::Control(Message::EpochNotice(notice))) if notice.instance == self.id => {
+                self.link.raise_epoch(notice.known + 1);
+                self.gossip.lock().raise_epoch(notice.known);
+            }
+            Ok(_) => Metrics::count(&self.metrics.refused_datagrams, "unexpected"),
+            Err(err) => {
+                log::debug!("message from {from} refused: {err}");
+                Metrics::count(&self.metrics.refused_datagrams, "malformed");
+            }
+        }
+    }
+
+    /// Sends a datagram of a change to the instances below this one in its tree.
+    pub(crate) fn pass_on(&self, message: RecordsMessage, now: Instant) {
+        let Some(root) = &message.root else { return };
+        let push = (root.as_str(), message.status.complete);
+        let below = children(&self.view(), None, push, TREE_FAN_OUT, &self.id);
+        let below = below.iter().map(|child| child.peer);
+        self.link.send_paced(below, records_message(message), now);
+    }
+
+    pub(crate) fn ask_for_missing(&self, now: Instant) {
+        let repairs = self.knowledge.lock().exchange.due_repairs(now);
+        for repair in repairs {
+            let (origin, batch) = repair.batch;
+            let question = DirectoryMessage::Missing { origin, batch, indexes: repair.missing };
+            self.send_to(repair.to, question);
+        }
+    }
+
+    pub(crate) fn ask_anyone(&self, now: Instant) {
+        let pull = {
+            let mut knowledge = self.knowledge.lock();
+            let Knowledge { directory, exchange, .. } = &mut *knowledge;
+            exchange.pull(directory, now)
+        };
+        if let Some(pull) = pull {
+            self.broadcast(pull);
+        }
+    }
+
+    fn on_gossip(&self, now: Instant, message: GossipMessage) {
+        let outgoing = self.gossip.lock().handle(now, message);
+        self.send_gossip(outgoing);
+    }
+
+    fn on_directory(
+        &self,
+        now: Instant,
+        sender: &InstanceId,
+        from: SocketAddr,
+        message: DirectoryMessage,
+    ) {
+        match message {
+            DirectoryMessage::Reading { parts } => self.on_reading(now, sender, from, &parts),
+            DirectoryMessage::Pull { complete } => {
+                let answers = {
+                    let mut knowledge = self.knowledge.lock();
+                    let Knowledge { directory, exchange, .. } = &mut *knowledge;
+                    exchange.answer(directory, &complete, now)
+                };
+                self.send_answers(from, answers, now);
+            }
+            DirectoryMessage::Missing { origin, batch, indexes } => {
+                let again = self.knowledge.lock().exchange.again(&(origin, batch), &indexes);
+                for message in again {
+                    self.link.send_paced([from], records_message(message), now);
+                }
+            }
+            DirectoryMessage::Records(records) => self.on_records(now, sender, from, records),
+            DirectoryMessage::Condition { target, condition } => {
+                let view = self.view();
+                let Some(member) = view.get(sender) else { return };
+                self.door.lock().on_condition(member, &target, condition, now);
+            }
+        }
+    }
+
+    /// Sends answers while their budget lasts; whoever gets none asks others or the store.
+    fn send_answers(&self, to: SocketAddr, answers: Vec<RecordsMessage>, now: Instant) {
+        if !self.answers.lock().has_room(now) {
+            return Metrics::count(&self.metrics.refused_datagrams, "answer_budget");
+        }
+        for answer in answers {
+            self.answers.lock().spend(answer.wire_bytes());
+            self.link.send_paced([to], records_message(answer), now);
+        }
+    }
+
+    fn on_records(
+        &self,
+        now: Instant,
+        sender: &InstanceId,
+        from: SocketAddr,
+        records: RecordsMessage,
+    ) {
+        let part = records.part;
+        let message = records.root.is_some().then(|| records.clone());
+        let (pull, is_passed_on) = {
+            let mut knowledge = self.knowledge.lock();
+            let Knowledge { directory, exchange, .. } = &mut *knowledge;
+            let received = exchange.on_records(directory, sender, from, records, now);
+            let pull = match received.outcome {
+                RecordsOutcome::Unchanged => None,
+                RecordsOutcome::Behind => exchange.pull(directory, now),
+                RecordsOutcome::Changed => {
+                    self.apply(directory, part, now);
+                    None
+                }
+            };
+            (pull, received.is_passed_on)
+        };
+        if let Some(pull) = pull {
+            self.send_pull(from, pull);
+        }
+        if let Some(message) = message.filter(|_| is_passed_on) {
+            self.pass_on(message, now);
+        }
+    }
+
+    fn on_reading(
+        &self,
+        now: Instant,
+        sender: &InstanceId,
+        from: SocketAddr,
+        parts: &[PartStatus],
+    ) {
+        let view = self.view();
+        let is_first = rank(&view, sender) < rank(&view, &self.id);
+        let answer = {
+            let mut knowledge = self.knowledge.lock();
+            let Knowledge { directory, exchange, choice, .. } = &mut *knowledge;
+            choice.note_heard(is_first, now);
+            exchange.on_reading(directory, parts, now)
+        };
+        if let Some(pull) = answer {
+            self.send_pull(from, pull);
+        }
+    }
+
+    pub(crate) fn tell_reading(&self, now: Instant) {
+        let message = {
+            let mut knowledge = self.knowledge.lock();
+            let is_due = knowledge.told_reading.is_none_or(|at| now >= at + READING_INTERVAL);
+            if !knowledge.choice.is_reading() || !is_due {
+                return;
+            }
+            knowledge.told_reading = Some(now);
+            DirectoryExchange::reading(&knowledge.directory, now)
+        };
+        self.broadcast(message);
+    }
+
+    pub(crate) fn tell_conditions(&self) {
+        let changes = self.door.lock().take_changes();
+        for change in changes {
+            let (target, condition) = (change.target, change.condition);
+            self.broadcast(DirectoryMessage::Condition { target, condition });
+        }
+    }
+
+    pub(crate) fn broadcast(&self, message: DirectoryMessage) {
+        self.link.broadcast(&self.view(), Message::Directory(message));
+    }
+
+    /// Asks the reader that told of a change, or mostly any other instance: those that have it are
+    /// many soon, and one that has run for long answers with less than a fresh reader.
+    fn send_pull(&self, reader: SocketAddr, pull: DirectoryMessage) {
+        let view = self.view();
+        let others: Vec<_> = view.members().iter().filter(|member| member.id != self.id).collect();
+        let is_for_reader = others.is_empty() || self.random.below(READER_PULL_SHARE) == 0;
+        let to = if is_for_reader {
+            reader
+        } else {
+            others[self.random.below(others.len() as u64) as usize].peer
+        };
+        self.send_to(to, pull);
+    }
+
+    fn send_to(&self, to: SocketAddr, message: DirectoryMessage) {
+        self.link.send([to], Message::Directory(message));
+    }
+
+    pub(crate) fn send_gossip(&self, outgoing: Vec<Outgoing>) {
+        for (to, message) in outgoing {
+            self.link.send([to], Message::Gossip(message));
+        }
+    }
+
+    fn refuse_datagram(&self, from: SocketAddr, err: &EnvelopeError) {
+        log::debug!("datagram from {from} refused: {err}");
+        Metrics::count(&self.metrics.refused_datagrams, "envelope");
+        if let EnvelopeError::Outdated { sender, known } = err {
+            let notice = EpochNotice { instance: sender.clone(), known: *known };
+            self.link.send([from], Message::EpochNotice(notice));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/instance_reader.rs
@@ -0,0 +1,153 @@
+//! What an instance knows from the store, and its part in following it.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::cookie_instance::CookieInstance;
+use crate::directory::Directory;
+use crate::directory_exchange::DirectoryExchange;
+use crate::directory_message::DirectoryMessage;
+use crate::ids::Version;
+use crate::reader_choice::{rank, ReaderChoice};
+use crate::route::{DirectoryRecord, Part, RecordBody};
+
+/// Time between two clearings of what was removed long ago.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest jitter of the pause after a failed call to the store, in milliseconds.
+const PAUSE_JITTER_MS: u64 = 200;
+
+/// Who is told what an instance read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The other instances.
+    Others,
+    /// Nobody: a fresh instance read what the others know already.
+    Nobody,
+}
+
+/// What an instance knows from the store and from others.
+pub(crate) struct Knowledge {
+    pub(crate) directory: Directory,
+    pub(crate) exchange: DirectoryExchange,
+    pub(crate) choice: ReaderChoice,
+    pub(crate) told_reading: Option<Instant>,
+    pub(crate) forgotten_at: Option<Instant>,
+}
+
+impl Knowledge {
+    /// Forgets now and then what was removed long ago.
+    pub(crate) fn forget(&mut self, now: Instant) {
+        if self.forgotten_at.is_none_or(|at| now >= at + FORGET_INTERVAL) {
+            self.forgotten_at = Some(now);
+            self.directory.forget(now);
+            self.exchange.forget(now);
+        }
+    }
+}
+
+impl CookieInstance {
+    /// Tells whether the instance is to read everything once, since nobody told it.
+    pub fn should_list(&self, now: Instant) -> bool {
+        let knowledge = self.knowledge.lock();
+        knowledge.choice.should_list(knowledge.directory.is_complete(), now)
+    }
+
+    /// Returns who is told what this instance reads before it follows the store: at the first start
+    /// of all, the others know nothing yet.
+    pub fn listing_audience(&self) -> Audience {
+        if self.is_first_start {
+            Audience::Others
+        } else {
+            Audience::Nobody
+        }
+    }
+
+    /// Tells whether the instance is to begin to follow the store.
+    pub fn should_read(&self, now: Instant) -> bool {
+        let is_due = |rank| self.knowledge.lock().choice.should_start(rank, now);
+        // Whether even the first in rank would is cheaper to know than the rank.
+        is_due(0) && is_due(self.rank())
+    }
+
+    /// Tells whether the instance is to stop following the store.
+    pub fn should_stop(&self, now: Instant) -> bool {
+        self.knowledge.lock().choice.should_stop(now)
+    }
+
+    /// Notes that the instance follows the store.
+    pub fn note_reading(&self) {
+        self.knowledge.lock().choice.note_reading();
+    }
+
+    /// Notes that the instance no longer follows the store.
+    pub fn note_stopped(&self) {
+        self.knowledge.lock().choice.note_stopped();
+    }
+
+    /// Notes that the store failed.
+    pub fn note_store_failed(&self, now: Instant) {
+        let jitter = Duration::from_millis(self.random.below(PAUSE_JITTER_MS));
+        let rank = self.rank();
+        self.knowledge.lock().choice.note_failed(rank, jitter, now);
+    }
+
+    /// Returns the time since the store last confirmed a part.
+    pub fn age(&self, part: Part, now: Instant) -> Option<Duration> {
+        self.knowledge.lock().directory.age(part, now)
+    }
+
+    /// Compares a listing with what is known.
+    pub fn differences(
+        &self,
+        part: Part,
+        version: Version,
+        listed: Vec<(SmolStr, Version, RecordBody)>,
+    ) -> Vec<DirectoryRecord> {
+        self.knowledge.lock().directory.differences(part, version, listed)
+    }
+
+    /// Returns the record that says that the store no longer has an entry.
+    pub fn removal(&self, part: Part, name: &str, version: Version) -> DirectoryRecord {
+        self.knowledge.lock().directory.removal(part, name, version)
+    }
+
+    /// Takes what was read from the store, and tells it to an audience.
+    pub fn publish(
+        &self,
+        part: Part,
+        records: Vec<DirectoryRecord>,
+        version: Version,
+        confirmed: Instant,
+        audience: Audience,
+    ) {
+        let now = Instant::now();
+        let messages = {
+            let mut knowledge = self.knowledge.lock();
+            let Knowledge { directory, exchange, .. } = &mut *knowledge;
+            let before = directory.complete(part);
+            let is_changed = directory.merge(part, records, now);
+            directory.confirm(part, version, confirmed);
+            if is_changed {
+                self.apply(directory, part, now);
+            }
+            if is_changed && audience == Audience::Others {
+                exchange.changes(directory, part, before, now)
+            } else {
+                Vec::new()
+            }
+        };
+        for message in messages {
+            if message.root.is_some() {
+                self.pass_on(message, now);
+            } else {
+                self.broadcast(DirectoryMessage::Records(message));
+            }
+        }
+    }
+
+    pub(crate) fn rank(&self) -> u32 {
+        rank(&self.view(), &self.id)
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -61,6 +61,8 @@
 pub mod http_call;
 pub mod http_platform;
 pub mod ids;
+pub mod instance_peers;
+pub mod instance_reader;
 pub mod kernel;
 mod kernel_grants;
 pub mod key_claim;
