cookie_door: a tick looks only at targets in doubt; conditions go to those who believe them

Cause: each tick (30 ms) passed over all targets: 0.48 ms at 46,000 targets, 1.6 % of a core, more than all of the budget of 1.3 %.

--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -128,6 +128,8 @@
     pub target: TargetId,
     /// Its condition.
     pub condition: TargetCondition,
+    /// Data centre of the target.
+    pub data_centre: DataCentreId,
 }
 
 /// What a tick asks for.
@@ -252,16 +254,18 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Instant) -> TickOutput {
         for target in self.watch.take_unanswered(now, ANSWER_TIME) {
-            self.targets.get_mut(target).silence.note_sign(now);
+            self.targets.silence_mut(target).note_sign(now);
         }
         self.watch.forget(now, OPENING_TIME);
         let mut output = TickOutput::default();
-        for index in self.targets.indices() {
-            let entry = self.targets.get_mut(index);
-            entry.silence.expire_hearsay(now);
-            if !entry.takes_new() || !entry.silence.take_check(now) {
+        for index in self.targets.doubted() {
+            let takes_new = self.targets.get(index).takes_new();
+            let silence = self.targets.silence_mut(index);
+            silence.expire_hearsay(now);
+            if !takes_new || !silence.take_check(now) {
                 continue;
             }
+            let entry = self.targets.get(index);
             let service = self.routes.service(&entry.registration.service);
             let path = service.map_or_else(|| "/".into(), |service| service.health_path.clone());
             let target = entry.registration.target.clone();
@@ -281,19 +285,19 @@
     pub fn reaches_any(&self) -> bool {
         let targets = self.targets.indices().map(|index| self.targets.get(index));
         let mut takers = targets.filter(|target| target.takes_new()).peekable();
-        takers.peek().is_none() || takers.any(|target| !target.silence.is_down())
+        takers.peek().is_none() || takers.any(|target| !target.silence().is_down())
     }
 
     /// Returns the number of targets that take new flows and do not answer.
     pub fn count_down(&self) -> usize {
         let targets = self.targets.indices().map(|index| self.targets.get(index));
-        targets.filter(|target| target.takes_new() && target.silence.is_down()).count()
+        targets.filter(|target| target.takes_new() && target.silence().is_down()).count()
     }
 
     /// Takes the outcome of a health check.
     pub fn on_check(&mut self, target: &str, outcome: CheckOutcome, now: Instant) {
         let Some(index) = self.targets.index(target) else { return };
-        let finding = self.targets.get_mut(index).silence.on_check(outcome, now);
+        let finding = self.targets.silence_mut(index).on_check(outcome, now);
         self.note_finding(index, finding, now, true);
     }
 
@@ -308,17 +312,18 @@
     ) {
         let Some(index) = self.targets.index(target) else { return };
         let is_witness = self.is_witness(from, target);
-        let entry = self.targets.get_mut(index);
         let shares_path = from.data_centre == self.setup.data_centre;
-        if !shares_path && from.data_centre != entry.registration.data_centre {
+        let home = &self.targets.get(index).registration.data_centre;
+        if !shares_path && from.data_centre != *home {
             return;
         }
+        let silence = self.targets.silence_mut(index);
         let finding = match condition {
-            TargetCondition::Down => entry.silence.hear_down(now),
-            TargetCondition::Up => entry.silence.hear_up(),
+            TargetCondition::Down => silence.hear_down(now),
+            TargetCondition::Up => silence.hear_up(),
         };
         if is_witness {
-            entry.silence.confirm_hearsay(now);
+            silence.confirm_hearsay(now);
         }
         self.note_finding(index, finding, now, false);
     }
@@ -361,7 +366,7 @@
         let tried = self.watch.opening(&segment.ends).map(|opening| opening.tried.clone());
         let tried = tried.unwrap_or_default();
         if let Some(last) = tried.last() {
-            self.targets.get_mut(*last).silence.note_sign(now);
+            self.targets.silence_mut(*last).note_sign(now);
         }
         let chosen = self.place(&service, &tried, now).or_else(|| self.place(&service, &[], now));
         match chosen {
@@ -423,9 +428,9 @@
 
     fn candidate(&self, index: usize, now: Instant) -> Candidate<'_> {
         let entry = self.targets.get(index);
-        let trust = if entry.silence.is_down() {
+        let trust = if entry.silence().is_down() {
             Trust::None
-        } else if entry.silence.is_trusted(now) {
+        } else if entry.silence().is_trusted(now) {
             Trust::Full
         } else {
             Trust::Doubtful
@@ -456,7 +461,8 @@
         if !target.carries_open(now, outage_grace) {
             return CookieVerdict::Drop(DropReason::Outage);
         }
-        if segment.data_len > 0 && entry.route.is_idempotent && target.silence.is_certainly_down() {
+        if segment.data_len > 0 && entry.route.is_idempotent && target.silence().is_certainly_down()
+        {
             self.watch.close(&segment.ends);
             return CookieVerdict::Reset(ResetReason::TargetDown);
         }
@@ -469,11 +475,11 @@
         let seen = self.watch.note_segment(segment, index, now);
         self.timings.extend(seen.open_time.map(FlowTiming::Opened));
         self.timings.extend(seen.answer_time.map(FlowTiming::Answered));
-        if seen.is_progress {
-            let finding = self.targets.get_mut(index).silence.note_progress();
+        if seen.is_progress && !self.targets.get(index).silence().is_clean() {
+            let finding = self.targets.silence_mut(index).note_progress();
             self.note_finding(index, finding, now, true);
-        } else if seen.is_repeat {
-            let silence = &mut self.targets.get_mut(index).silence;
+        } else if seen.is_repeat && !seen.is_progress {
+            let silence = self.targets.silence_mut(index);
             silence.note_sign(now);
             silence.confirm_hearsay(now);
         }
@@ -499,7 +505,8 @@
             "condition of a target changed"
         );
         if is_own {
-            self.changes.push(ConditionChange { target, condition });
+            let data_centre = entry.registration.data_centre.clone();
+            self.changes.push(ConditionChange { target, condition, data_centre });
         }
     }
 
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -15,6 +15,7 @@
 use crate::message::{EpochNotice, Frame, Message};
 use crate::metrics::Metrics;
 use crate::reader_choice::{rank, READING_INTERVAL};
+use crate::view::Member;
 
 /// Instances to which an instance passes on a change of several datagrams; few, since each costs the
 /// link as much as receiving the change.
@@ -199,11 +200,18 @@
         self.broadcast(message);
     }
 
+    /// Tells those who believe it: instances of this data centre, and all when the target is here.
     pub(crate) fn tell_conditions(&self) {
         let changes = self.door.lock().take_changes();
+        let view = self.view();
         for change in changes {
+            let is_here = change.data_centre == self.data_centre;
+            let believes = |it: &&Member| is_here || it.data_centre == self.data_centre;
+            let others = view.members().iter().filter(|it| it.id != self.id);
+            let to = others.filter(believes).map(|member| member.peer);
             let (target, condition) = (change.target, change.condition);
-            self.broadcast(DirectoryMessage::Condition { target, condition });
+            let message = DirectoryMessage::Condition { target, condition };
+            self.link.send(to, Message::Directory(message));
         }
     }
 
--- a/lib/src/silence.rs
+++ b/lib/src/silence.rs
@@ -89,6 +89,16 @@
         self.condition
     }
 
+    /// Tells whether the judgement stays as it is until something is learned.
+    pub fn is_at_rest(&self) -> bool {
+        self.condition == Condition::Answering && self.next_check.is_none() && !self.is_checking
+    }
+
+    /// Tells whether nothing speaks against the target.
+    pub fn is_clean(&self) -> bool {
+        self.is_at_rest() && self.signs == 0
+    }
+
     /// Tells whether new flows may go to the target without need.
     pub fn is_trusted(&self, now: Instant) -> bool {
         match self.condition {
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -1,5 +1,6 @@
 //! Targets as the flow door with cookies knows them: what they registered and what is believed.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,13 +30,18 @@
     /// Flows that it got while cold.
     pub cold_count: ColdCount,
     /// Whether it answers.
-    pub silence: Silence,
+    silence: Silence,
     /// New flows that this instance has sent to it.
     pub turn: u64,
     is_shadowed: bool,
 }
 
 impl TargetEntry {
+    /// Returns the judgement whether the target answers.
+    pub fn silence(&self) -> &Silence {
+        &self.silence
+    }
+
     /// Returns the target's address.
     pub fn address(&self) -> SocketAddr {
         self.registration.address
@@ -116,6 +122,8 @@
     by_id: HashMap<TargetId, usize>,
     by_cookie: HashMap<Cookie, usize>,
     by_service: HashMap<ServiceId, Vec<usize>>,
+    /// Targets whose judgement changes with time.
+    doubted: BTreeSet<usize>,
 }
 
 impl TargetTable {
@@ -127,6 +135,7 @@
             by_id: HashMap::default(),
             by_cookie: HashMap::default(),
             by_service: HashMap::default(),
+            doubted: BTreeSet::new(),
         }
     }
 
@@ -140,6 +149,19 @@
         &mut self.entries[index]
     }
 
+    /// Returns the judgement of a target, to change it.
+    pub fn silence_mut(&mut self, index: usize) -> &mut Silence {
+        self.doubted.insert(index);
+        &mut self.entries[index].silence
+    }
+
+    /// Returns the targets whose judgement may change with time.
+    pub fn doubted(&mut self) -> Vec<usize> {
+        let entries = &self.entries;
+        self.doubted.retain(|index| !entries[*index].silence.is_at_rest());
+        self.doubted.iter().copied().collect()
+    }
+
     /// Returns the number of a target by its name.
     pub fn index(&self, target: &str) -> Option<usize> {
         self.by_id.get(target).copied()
