--- a/soak/src/instance_process.rs
+++ b/soak/src/instance_process.rs
@@ -37,6 +37,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    is_closed: bool,
 }
 
 impl InstanceProcess {
@@ -49,7 +50,7 @@
         let file = dir.join(format!("{name}.ini"));
         std::fs::write(&file, settings).with_context(|| format!("writing {}", file.display()))?;
         let log = dir.join(format!("{name}.log"));
-        Ok(Self { program: program.into(), settings: file, log, child: None })
+        Ok(Self { program: program.into(), settings: file, log, child: None, is_closed: false })
     }
 
     /// Starts the process; its log is appended to.
@@ -58,6 +59,7 @@
     ///
     /// Returns why it cannot be started.
     pub fn start(&mut self) -> Result<()> {
+        ensure!(!self.is_closed, "the run has ended");
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .args([Path::new("--config"), &self.settings])
@@ -105,6 +107,16 @@
         Ok(())
     }
 
+    /// Kills the process and starts it no more.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it cannot be killed.
+    pub fn close(&mut self) -> Result<()> {
+        self.is_closed = true;
+        self.kill()
+    }
+
     /// Tells whether the process has ended, and forgets it then.
     ///
     /// # Errors
--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -95,7 +95,7 @@
 }
 
 /// What a run did and saw.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct History {
     /// Disturbances.
     pub disturbances: Vec<Disturbance>,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context, Result};
 use bpaf::Bpaf;
 use hollyhead_soak::run::{play, RunSetup};
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Longest fault and some time in which all is served again.
 const CALM_END: Duration = Duration::from_secs(20);
@@ -79,7 +80,13 @@
             gap: Duration::from_millis(options.gap),
             calm_end: CALM_END,
         };
-        let verdict = play(&setup).await?;
+        let verdict = tokio::select! {
+            verdict = play(&setup) => verdict?,
+            result = stopped() => {
+                result?;
+                anyhow::bail!("stopped at seed {seed}");
+            }
+        };
         println!(
             "seed {seed}: {} faults, {} flows, {} ended early, {} in quiet times, {} promises broken",
             verdict.faults,
@@ -98,3 +105,12 @@
     }
     Ok(is_clean)
 }
+
+/// Waits for a signal to stop.
+async fn stopped() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        result = tokio::signal::ctrl_c() => Ok(result?),
+        _ = terminate.recv() => Ok(()),
+    }
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -13,14 +13,14 @@
 use crate::fault_plan::{plan, Shape};
 use crate::judge::{History, Violation, RECOVERY};
 use crate::load::{Load, LoadSetup};
-use crate::world::{World, WorldSize, DATA_CENTRES};
+use crate::world::{Running, World, WorldSize, DATA_CENTRES};
 
 /// Time for instances to become ready at the start.
 const START_PATIENCE: Duration = Duration::from_secs(30);
 /// Time of load before the first fault.
 const CALM_START: Duration = Duration::from_secs(2);
 /// Time between two judgements.
-const JUDGE_INTERVAL: Duration = Duration::from_secs(2);
+const JUDGE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What a run is made from.
 #[derive(Clone, Debug)]
@@ -68,7 +68,8 @@
 pub async fn play(setup: &RunSetup) -> Result<Verdict> {
     let (events, mut seen) = mpsc::unbounded_channel();
     let size = WorldSize { instances: setup.instances, targets: setup.targets };
-    let world = World::start(&setup.program, &setup.dir, size, events).await?;
+    let running = Running(World::start(&setup.program, &setup.dir, size, events).await?);
+    let world = Arc::clone(&running.0);
     let history = Arc::clone(&world.history);
     let collector = {
         let history = Arc::clone(&history);
@@ -80,13 +81,13 @@
     };
     world.wait_until_ready(START_PATIENCE).await?;
     let load = Arc::new(Load::new(load_setup(setup, &world).await?));
-    let running = tokio::spawn({
+    let opening = tokio::spawn({
         let load = Arc::clone(&load);
         async move { load.run().await }
     });
     let faults = inject_all(setup, &world, &history).await;
     load.stop();
-    running.await?;
+    opening.await?;
     collector.abort();
     let history = history.lock();
     Ok(Verdict {
@@ -134,12 +135,19 @@
             continue;
         }
         if Instant::now() >= next_judgement {
-            next_judgement = Instant::now() + JUDGE_INTERVAL;
-            if !history.lock().violations().is_empty() {
+            if is_broken(history).await {
                 return injected;
             }
+            next_judgement = Instant::now() + JUDGE_INTERVAL;
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     injected
 }
+
+/// Judges a copy on a thread of its own: callers and targets go on meanwhile.
+async fn is_broken(history: &Mutex<History>) -> bool {
+    let copy = history.lock().clone();
+    let judged = tokio::task::spawn_blocking(move || !copy.violations().is_empty()).await;
+    judged.unwrap_or_else(|err| panic!("judge failed: {err}"))
+}
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -88,6 +88,15 @@
     started: u64,
 }
 
+/// A world that ends with its run, however the run ends.
+pub struct Running(pub Arc<World>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
 /// The world of a run.
 pub struct World {
     addresses: Addresses,
@@ -184,6 +193,16 @@
         tokio::time::timeout(patience, ready).await.context("instances did not become ready")
     }
 
+    /// Ends everything that the run started.
+    pub fn close(&self) {
+        self.tasks.lock().abort_all();
+        for instance in &self.instances {
+            if let Err(err) = instance.process.lock().close() {
+                log::warn!("process of {} not killed: {err:#}", instance.name);
+            }
+        }
+    }
+
     /// Does a fault; what ends later goes on in the background.
     pub fn inject(self: &Arc<Self>, fault: Fault) {
         log::info!("{fault:?}");
