--- a/soak/src/addresses.rs
+++ b/soak/src/addresses.rs
@@ -6,6 +6,7 @@
 
 const ROLES: u32 = 8;
 const NETS: u32 = 250 * 30;
+const PORTS: usize = 4;
 
 /// What an address is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,14 +43,9 @@
     /// Returns why no port is free.
     pub fn choose() -> Result<Self> {
         let net = std::process::id() % NETS;
-        let ports = Self { net, flow_port: 0, peer_port: 0, admin_port: 0, target_port: 0 };
-        Ok(Self {
-            flow_port: free_port(ports.ip(Role::Instance, 0))?,
-            peer_port: free_port(ports.ip(Role::PeerProxy, 0))?,
-            admin_port: free_port(ports.ip(Role::Caller, 0))?,
-            target_port: free_port(ports.ip(Role::Target, 0))?,
-            ..ports
-        })
+        let unset = Self { net, flow_port: 0, peer_port: 0, admin_port: 0, target_port: 0 };
+        let [flow_port, peer_port, admin_port, target_port] = free_ports(&unset)?;
+        Ok(Self { flow_port, peer_port, admin_port, target_port, ..unset })
     }
 
     /// Returns an IP number.
@@ -90,10 +86,17 @@
     }
 }
 
-/// Returns a port that is free for datagrams and connections.
-fn free_port(ip: Ipv4Addr) -> Result<u16> {
-    let listener = TcpListener::bind((ip, 0)).context("no free port")?;
-    let port = listener.local_addr()?.port();
-    UdpSocket::bind((ip, port)).context("port is taken")?;
-    Ok(port)
+/// Returns different ports that are free for datagrams and connections. All are taken at one
+/// address at once, since two addresses may well give the same port.
+fn free_ports(addresses: &Addresses) -> Result<[u16; PORTS]> {
+    let ip = addresses.ip(Role::Instance, 0);
+    let mut taken = Vec::new();
+    while taken.len() < PORTS {
+        let listener = TcpListener::bind((ip, 0)).context("no free port")?;
+        let port = listener.local_addr()?.port();
+        let datagrams = UdpSocket::bind((ip, port));
+        taken.extend(datagrams.ok().map(|datagrams| (port, listener, datagrams)));
+    }
+    let ports: Vec<_> = taken.iter().map(|(port, _, _)| *port).collect();
+    ports.try_into().map_err(|_| anyhow::anyhow!("ports are missing"))
 }
