--- a/testutils/src/flow_router.rs
+++ b/testutils/src/flow_router.rs
@@ -6,20 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollyhead::health_check::{check, CheckOutcome};
 use parking_lot::Mutex;
 use siphasher::sip::SipHasher13;
 use smol_str::SmolStr;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::echo_target::FlowEnds;
 
 /// Time between two questions whether an instance is ready.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(500);
-const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 const MISSES_UNTIL_OUT: u32 = 2;
-const STATUS_LINE_BYTES: usize = 12;
 
 /// An instance as the fabric knows it.
 #[derive(Clone, Debug)]
@@ -88,8 +85,8 @@
             for instance in instances {
                 let router = Arc::clone(&self);
                 polls.spawn(async move {
-                    let asked = tokio::time::timeout(POLL_TIMEOUT, is_ready(instance.admin)).await;
-                    router.note(&instance, asked.unwrap_or(false));
+                    let outcome = check(instance.admin, "/readyz").await;
+                    router.note(&instance, outcome == CheckOutcome::Healthy);
                 });
             }
             polls.join_all().await;
@@ -106,18 +103,6 @@
     }
 }
 
-async fn is_ready(admin: SocketAddr) -> bool {
-    let ask = async {
-        let mut stream = TcpStream::connect(admin).await.ok()?;
-        let head = format!("GET /readyz HTTP/1.1\r\nHost: {admin}\r\nConnection: close\r\n\r\n");
-        stream.write_all(head.as_bytes()).await.ok()?;
-        let mut line = [0; STATUS_LINE_BYTES];
-        stream.read_exact(&mut line).await.ok()?;
-        Some(line.ends_with(b"200"))
-    };
-    ask.await.unwrap_or(false)
-}
-
 fn hash((caller, service): &FlowEnds) -> u64 {
     let mut hasher = SipHasher13::new();
     for end in [caller, service] {
--- a/testutils/src/object_server.rs
+++ b/testutils/src/object_server.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinSet;
 
 use crate::object_store::{ObjectStore, StoreRefusal};
+use crate::platform_server::answer;
 
 /// How the store treats the calls of one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -174,9 +175,3 @@
         StoreRefusal::Nonsense(what) => answer(StatusCode::BAD_REQUEST, &json!({ "error": what })),
     }
 }
-
-fn answer(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
-    *response.status_mut() = status;
-    response
-}
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -156,7 +156,7 @@
     }
 }
 
-fn answer(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
+pub(crate) fn answer(status: StatusCode, value: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(value.to_string())));
     *response.status_mut() = status;
     response
