soak: an instance that runs is not started again

Cause: two overlapping kills or stops of one instance both started it; the second start lost the first process, which went on serving out of reach of the faults and outlived the run (169 processes after 54 runs, ended by id). Test first red.

--- a/soak/src/instance_process.rs
+++ b/soak/src/instance_process.rs
@@ -53,13 +53,16 @@
         Ok(Self { program: program.into(), settings: file, log, child: None, is_closed: false })
     }
 
-    /// Starts the process; its log is appended to.
+    /// Starts the process, unless it runs already because faults overlapped; its log is appended to.
     ///
     /// # Errors
     ///
     /// Returns why it cannot be started.
     pub fn start(&mut self) -> Result<()> {
         ensure!(!self.is_closed, "the run has ended");
+        if !self.has_ended()? {
+            return Ok(());
+        }
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .args([Path::new("--config"), &self.settings])
