record_batch: a datagram of a known change drops no other

Cause: each datagram made room for a new change, also when its own was known, so with 16 changes under way every datagram dropped the oldest, perhaps its own.

--- a/lib/src/record_batch.rs
+++ b/lib/src/record_batch.rs
@@ -102,11 +102,8 @@
 impl RecordBatches {
     /// Keeps the datagrams of a change of this instance.
     pub fn keep(&mut self, origin: &InstanceId, messages: &[RecordsMessage], now: Instant) {
-        self.make_room(now);
         for message in messages {
-            let id = (origin.clone(), message.batch);
-            let fresh = || Batch::new(message.part, message.count, now);
-            self.batches.entry(id).or_insert_with(fresh).put(message.clone(), now);
+            self.batch((origin.clone(), message.batch), message, now).put(message.clone(), now);
         }
     }
 
@@ -118,9 +115,7 @@
         from: SocketAddr,
         now: Instant,
     ) -> Taken {
-        self.make_room(now);
-        let fresh = || Batch::new(message.part, message.count, now);
-        let batch = self.batches.entry(id).or_insert_with(fresh);
+        let batch = self.batch(id, &message, now);
         if !batch.put(message, now) {
             return Taken::Known;
         }
@@ -163,8 +158,15 @@
         self.batches.retain(|_, batch| now < batch.changed_at + KEEP_BATCH);
     }
 
-    fn make_room(&mut self, now: Instant) {
-        self.forget(now);
+    /// Returns the change that a datagram belongs to; a new one takes the place of the oldest.
+    fn batch(&mut self, id: BatchId, message: &RecordsMessage, now: Instant) -> &mut Batch {
+        if !self.batches.contains_key(&id) {
+            self.make_room();
+        }
+        self.batches.entry(id).or_insert_with(|| Batch::new(message.part, message.count, now))
+    }
+
+    fn make_room(&mut self) {
         if self.batches.len() < MAX_BATCHES {
             return;
         }
