--- a/lib/src/cold_share.rs
+++ b/lib/src/cold_share.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::ids::InstanceId;
-use crate::owner::{score, seed};
+use crate::owner::place;
 
 /// Span of time that the bound holds for.
 pub const WINDOW: Duration = Duration::from_millis(1_050);
@@ -40,9 +40,8 @@
     me: &str,
     members: impl Iterator<Item = &'a InstanceId>,
 ) -> bool {
-    let rank = |id: &str| (score(seed(target, id), 0), id.to_owned());
-    let mine = rank(me);
-    members.filter(|member| *member != me).all(|member| rank(member) < mine)
+    let mine = place(target, me, 0);
+    members.filter(|member| *member != me).all(|member| place(target, member, 0) < mine)
 }
 
 /// New flows that were sent to a cold target lately.
@@ -53,15 +52,16 @@
 
 impl ColdCount {
     /// Tells whether one more flow stays within `share`.
-    pub fn has_room(&mut self, share: u32, now: Instant) -> bool {
-        while self.sent.front().is_some_and(|at| now >= *at + WINDOW) {
-            self.sent.pop_front();
-        }
-        self.sent.len() < share as usize
+    pub fn has_room(&self, share: u32, now: Instant) -> bool {
+        let recent = self.sent.iter().filter(|at| now < **at + WINDOW);
+        recent.count() < share as usize
     }
 
     /// Counts a flow.
     pub fn note(&mut self, now: Instant) {
+        while self.sent.front().is_some_and(|at| now >= *at + WINDOW) {
+            self.sent.pop_front();
+        }
         self.sent.push_back(now);
     }
 }
--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -110,6 +110,29 @@
     Drop(DropReason),
 }
 
+impl CookieVerdict {
+    /// Returns the decision on the flow, by the names that logs use; `None` when the packet only
+    /// goes where its flow already is.
+    pub fn decision(&self) -> Option<Decision> {
+        let (outcome, reason) = match self {
+            Self::Forward { opens: false, .. } => return None,
+            Self::Forward { opens: true, .. } => ("placed", "opened"),
+            Self::Reset(reason) => ("reset", reason.label()),
+            Self::Drop(reason) => ("dropped", reason.label()),
+        };
+        Some(Decision { outcome, reason })
+    }
+}
+
+/// A decision on a flow, by the names that logs and metrics use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// What was done.
+    pub outcome: &'static str,
+    /// Why.
+    pub reason: &'static str,
+}
+
 /// Health check that is due.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DueCheck {
@@ -132,13 +155,6 @@
     pub data_centre: DataCentreId,
 }
 
-/// What a tick asks for.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TickOutput {
-    /// Health checks to make.
-    pub checks: Vec<DueCheck>,
-}
-
 /// Settings of the door.
 #[derive(Clone, Debug)]
 pub struct CookieDoorSetup {
@@ -251,13 +267,13 @@
         }
     }
 
-    /// Does what is due.
-    pub fn tick(&mut self, now: Instant) -> TickOutput {
+    /// Does what is due, and returns the health checks to make.
+    pub fn tick(&mut self, now: Instant) -> Vec<DueCheck> {
         for target in self.watch.take_unanswered(now, ANSWER_TIME) {
             self.targets.silence_mut(target).note_sign(now);
         }
         self.watch.forget(now, OPENING_TIME);
-        let mut output = TickOutput::default();
+        let mut checks = Vec::new();
         for index in self.targets.doubted() {
             let takes_new = self.targets.get(index).takes_new();
             let silence = self.targets.silence_mut(index);
@@ -269,9 +285,9 @@
             let service = self.routes.service(&entry.registration.service);
             let path = service.map_or_else(|| "/".into(), |service| service.health_path.clone());
             let target = entry.registration.target.clone();
-            output.checks.push(DueCheck { target, address: entry.address(), path });
+            checks.push(DueCheck { target, address: entry.address(), path });
         }
-        output
+        checks
     }
 
     /// Replaces the bounds that the settings tell.
@@ -399,28 +415,23 @@
         }
     }
 
-    fn place(&mut self, service: &str, tried: &[usize], now: Instant) -> Option<usize> {
-        let indices: Vec<usize> = self.targets.of_service(service).to_vec();
-        let mut allowed = Vec::with_capacity(indices.len());
-        for index in indices {
-            if !tried.contains(&index) && self.may_take(service, index, now) {
-                allowed.push(index);
-            }
-        }
-        let candidates = allowed.iter().map(|index| self.candidate(*index, now));
-        choose(&self.setup.data_centre, candidates)
+    fn place(&self, service: &str, tried: &[usize], now: Instant) -> Option<usize> {
+        let indices = self.targets.of_service(service).iter().copied();
+        let allowed =
+            indices.filter(|index| !tried.contains(index) && self.may_take(service, *index, now));
+        choose(&self.setup.data_centre, allowed.map(|index| self.candidate(index, now)))
     }
 
     /// Tells whether a target may get a new flow; a cold one may within this instance's share.
-    fn may_take(&mut self, service: &str, index: usize, now: Instant) -> bool {
-        let borne = self.routes.service(service).map_or(0, |service| service.cold_flows_per_second);
-        let entry = self.targets.get_mut(index);
+    fn may_take(&self, service: &str, index: usize, now: Instant) -> bool {
+        let entry = self.targets.get(index);
         if !entry.takes_new() {
             return false;
         }
         if !entry.is_cold(now) {
             return true;
         }
+        let borne = self.routes.service(service).map_or(0, |service| service.cold_flows_per_second);
         let members = self.view.members().iter().map(|member| &member.id);
         ranks_first(&entry.registration.target, &self.setup.id, members)
             && entry.cold_count.has_room(self.setup.cold.share(borne), now)
--- a/lib/src/cookie_entry.rs
+++ b/lib/src/cookie_entry.rs
@@ -13,7 +13,7 @@
 use crate::cookie_door::{CookieDoorSetup, DueCheck};
 use crate::cookie_instance::{cold_bound, CookieInstance, CookieInstanceSetup};
 use crate::directory_reader;
-use crate::entry::{bind_tcp, bind_udp, epoch, local, EntryError, DATAGRAM_BYTES};
+use crate::entry::{bind_tcp, bind_udp, epoch, EntryError, DATAGRAM_BYTES};
 use crate::health_check::check;
 use crate::network::UdpNetwork;
 use crate::platform::Platform;
@@ -64,12 +64,9 @@
         settings: &Settings,
         platform: Arc<dyn Platform>,
     ) -> Result<Self, EntryError> {
-        let flow = Arc::new(bind_udp("flow", settings.flow).await?);
-        let peer = Arc::new(bind_udp("peer", settings.peer).await?);
-        let admin = bind_tcp("admin", settings.admin).await?;
-        let flow_address = local("flow", settings.flow, flow.local_addr())?;
-        let peer_address = local("peer", settings.peer, peer.local_addr())?;
-        let admin_address = local("admin", settings.admin, admin.local_addr())?;
+        let (flow, flow_address) = bind_udp("flow", settings.flow).await?;
+        let (peer, peer_address) = bind_udp("peer", settings.peer).await?;
+        let (admin, admin_address) = bind_tcp("admin", settings.admin).await?;
         let setup = CookieInstanceSetup {
             door: door_setup(settings),
             epoch: epoch(),
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -19,10 +19,11 @@
 use crate::directory::Directory;
 use crate::directory_exchange::DirectoryExchange;
 use crate::envelope::PeerKey;
-use crate::flow_log::{Decision, FlowLog};
+use crate::flow_log::FlowLog;
 use crate::gossip::Gossip;
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, Epoch, InstanceId};
+use crate::instance_peers::Tree;
 use crate::instance_reader::Knowledge;
 use crate::logging;
 use crate::metrics::{Metrics, PartLabel};
@@ -88,6 +89,8 @@
     pub(crate) last_packet: Mutex<Instant>,
     pub(crate) log: FlowLog,
     pub(crate) answers: Mutex<ByteBudget>,
+    /// Tree that a datagram went down last, and the addresses below this instance in it.
+    pub(crate) branch: Mutex<Option<(Tree, Vec<SocketAddr>)>>,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -145,6 +148,7 @@
             is_leaving: AtomicBool::new(false),
             last_packet: Mutex::new(now),
             log: FlowLog::default(),
+            branch: Mutex::new(None),
             answers: Mutex::new(ByteBudget::new(ANSWER_BYTES_PER_SECOND, ANSWER_BURST_BYTES)),
             metrics,
         }
@@ -222,7 +226,11 @@
         *self.last_packet.lock() = now;
         let (verdict, timings) = {
             let mut door = self.door.lock();
-            (door.on_segment(&segment, now), door.take_timings())
+            let verdict = door.on_segment(&segment, now);
+            if let Some(decision) = verdict.decision() {
+                self.log.decision(decision, &segment, &door, now);
+            }
+            (verdict, door.take_timings())
         };
         self.observe(&timings);
         match verdict {
@@ -236,18 +244,13 @@
                     (true, _) => "opened_again",
                 };
                 Metrics::count(&self.metrics.packets, outcome);
-                if opens {
-                    self.log_decision("placed", "opened", &segment, now);
-                }
             }
             CookieVerdict::Reset(reason) => {
                 self.reset(&segment, out);
                 Metrics::count(&self.metrics.packets, reason.label());
-                self.log_decision("reset", reason.label(), &segment, now);
             }
             CookieVerdict::Drop(reason) => {
                 Metrics::count(&self.metrics.packets, reason.label());
-                self.log_decision("dropped", reason.label(), &segment, now);
                 if reason == DropReason::UnknownCookie || reason == DropReason::RouteInDoubt {
                     self.ask_anyone(now);
                 }
@@ -296,9 +299,9 @@
         let confirmed = {
             let mut knowledge = self.knowledge.lock();
             knowledge.forget(now);
-            knowledge.directory.age(Part::Routing, now).and_then(|age| now.checked_sub(age))
+            knowledge.directory.confirmed(Part::Routing)
         };
-        let output = {
+        let checks = {
             let mut door = self.door.lock();
             door.set_view(view);
             door.set_routing_confirmed(confirmed);
@@ -311,7 +314,7 @@
         if !self.has_directory() {
             self.ask_seeds(now);
         }
-        output.checks
+        checks
     }
 
     /// Takes the outcome of a health check.
@@ -341,16 +344,6 @@
         self.metrics.config_version.set(version);
     }
 
-    fn log_decision(
-        &self,
-        outcome: &'static str,
-        reason: &'static str,
-        segment: &Segment,
-        now: Instant,
-    ) {
-        self.log.decision(Decision { outcome, reason }, segment, &self.door.lock(), now);
-    }
-
     fn reset(&self, segment: &Segment, out: &mut Vec<u8>) {
         out.clear();
         self.form.reset(segment, out);
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -30,6 +30,8 @@
     complete: Version,
     /// Version from which on every removal is known.
     horizon: Version,
+    /// Version of the newest record that there ever was.
+    newest: Version,
     confirmed: Option<Instant>,
 }
 
@@ -55,9 +57,14 @@
         Part::ALL.iter().all(|part| self.complete(*part) > 0)
     }
 
-    /// Returns the time since a part was last confirmed by the store, as far as is known.
+    /// Returns when the store last confirmed a part, as far as is known.
+    pub fn confirmed(&self, part: Part) -> Option<Instant> {
+        self.parts[part as usize].confirmed
+    }
+
+    /// Returns the time since the store last confirmed a part, as far as is known.
     pub fn age(&self, part: Part, now: Instant) -> Option<Duration> {
-        self.parts[part as usize].confirmed.map(|at| now.saturating_duration_since(at))
+        self.confirmed(part).map(|at| now.saturating_duration_since(at))
     }
 
     /// Returns the records of a part that are not removed, in the order of their names.
@@ -76,6 +83,9 @@
     /// changes are known. Nothing changed between that and `until`.
     pub fn last_change(&self, part: Part, until: Version) -> Version {
         let part = &self.parts[part as usize];
+        if part.newest <= until {
+            return part.newest.max(part.horizon);
+        }
         let versions = part.records.values().map(|stored| stored.version);
         versions.filter(|version| *version <= until).fold(part.horizon, Version::max)
     }
@@ -96,15 +106,15 @@
     ///
     /// Returns whether anything changed.
     pub fn merge(&mut self, part: Part, records: Vec<DirectoryRecord>, now: Instant) -> bool {
-        let stored = &mut self.parts[part as usize].records;
+        let PartState { records: stored, newest, .. } = &mut self.parts[part as usize];
         let mut is_changed = false;
         for record in records {
             let known = stored.get(&record.name);
             if known.is_some_and(|known| known.version >= record.version) {
                 continue;
             }
-            let is_gone = record.is_removed();
-            let removed_at = is_gone.then_some(now);
+            *newest = record.version.max(*newest);
+            let removed_at = record.is_removed().then_some(now);
             let entry = Stored { version: record.version, body: record.body, removed_at };
             stored.insert(record.name, entry);
             is_changed = true;
--- a/lib/src/directory_exchange.rs
+++ b/lib/src/directory_exchange.rs
@@ -32,12 +32,12 @@
 }
 
 /// What follows from a datagram of records.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Received {
     /// What became of the records.
     pub outcome: RecordsOutcome,
-    /// Whether the datagram is to be passed on to the instances below in its tree.
-    pub is_passed_on: bool,
+    /// The datagram, if it is to be passed on to the instances below in its tree.
+    pub relay: Option<RecordsMessage>,
 }
 
 /// What became of a datagram of records.
@@ -205,16 +205,19 @@
         let is_news = head.status.complete > directory.complete(head.part);
         if message.count <= 1 {
             let outcome = self.merge(directory, head, message.records, now);
-            return Received { outcome, is_passed_on: false };
+            return Received { outcome, relay: None };
         }
         let origin = head.root.clone().unwrap_or_else(|| sender.clone());
-        let taken = self.batches.take((origin, message.batch), message, from, now);
+        let (id, index) = ((origin, message.batch), message.index);
+        let taken = self.batches.take(id.clone(), message, from, now);
         let is_passed_on = head.root.is_some() && is_news && taken != Taken::Known;
+        let relay =
+            is_passed_on.then(|| self.batches.again(&id, &[index])).and_then(|mut it| it.pop());
         let outcome = match taken {
             Taken::Whole(records) => self.merge(directory, head, records, now),
             Taken::Known | Taken::New => RecordsOutcome::Unchanged,
         };
-        Received { outcome, is_passed_on }
+        Received { outcome, relay }
     }
 
     /// Merges a change and those that waited for it; keeps it when an earlier one is missing.
--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::cookie_instance::CookieInstance;
+use crate::directory::Directory;
 use crate::http_call::nonsense;
 use crate::ids::Version;
 use crate::instance_reader::Audience;
@@ -37,7 +38,7 @@
         tokio::time::sleep(pause).await;
         let now = Instant::now();
         let result = if instance.should_list(now) {
-            reader.list_all(instance.listing_audience()).await.map(|_| ())
+            reader.list_once().await
         } else if instance.should_read(now) {
             reader.read_until_stop().await
         } else {
@@ -78,10 +79,16 @@
         }
     }
 
+    /// Reads everything once, without following what changes.
+    async fn list_once(&self) -> Result<(), PlatformError> {
+        self.list_all(self.instance.listing_audience(), self.may_have_lapsed()).await?;
+        Ok(())
+    }
+
     /// Reads everything and then what changes; returns only when the store fails.
     async fn read(&self) -> Result<(), PlatformError> {
         let has_lapsed = self.may_have_lapsed();
-        let [routing, targets, outages] = self.list_all(Audience::Others).await?;
+        let [routing, targets, outages] = self.list_all(Audience::Others, has_lapsed).await?;
         log::info!(version = targets; "following the store");
         self.instance.note_reading();
         tokio::try_join!(
@@ -93,12 +100,13 @@
         Ok(())
     }
 
-    /// Lists all parts, and returns the versions that they are complete up to.
+    /// Lists all parts, and returns the versions that they are complete up to. Registrations that
+    /// are missing are kept when they may only have lapsed.
     async fn list_all(
         &self,
         audience: Audience,
+        has_lapsed: bool,
     ) -> Result<[Version; Part::ALL.len()], PlatformError> {
-        let has_lapsed = self.may_have_lapsed();
         // One call shows whether the store is there at all.
         let outages = self.list(Part::Outages, false, audience).await?;
         let (routing, targets) = tokio::try_join!(
@@ -109,7 +117,8 @@
     }
 
     fn may_have_lapsed(&self) -> bool {
-        let age = self.instance.age(Part::Targets, Instant::now());
+        let now = Instant::now();
+        let age = self.instance.with_directory(|directory| directory.age(Part::Targets, now));
         age.is_some_and(|age| age >= LAPSE_TIME)
     }
 
@@ -133,7 +142,8 @@
         Metrics::count(&self.instance.metrics.platform_calls, "listed");
         let version = listing.version;
         let records = decode(part, listing)?;
-        let mut differences = self.instance.differences(part, version, records);
+        let mut differences =
+            self.instance.with_directory(|directory| directory.differences(part, version, records));
         if keeps_missing {
             differences.retain(|record| !record.is_removed());
         }
@@ -167,8 +177,9 @@
     fn changes(&self, part: Part, listing: Listing) -> Result<Vec<DirectoryRecord>, PlatformError> {
         if part == Part::Routing {
             let Some(newest) = newest_document(listing) else { return Ok(Vec::new()) };
-            let version = newest.version;
-            return Ok(self.instance.differences(part, version, decode(part, newest)?));
+            let (version, records) = (newest.version, decode(part, newest)?);
+            let differences = |directory: &Directory| directory.differences(part, version, records);
+            return Ok(self.instance.with_directory(differences));
         }
         let mut records = Vec::new();
         for object in &listing.objects {
@@ -178,7 +189,9 @@
                     version: object.version,
                     body: Some(body),
                 },
-                None => self.instance.removal(part, &object.name, object.version),
+                None => self
+                    .instance
+                    .with_directory(|it| it.removal(part, &object.name, object.version)),
             });
         }
         Ok(records)
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -94,15 +94,15 @@
         settings: &Settings,
         platform: Arc<dyn Platform>,
     ) -> Result<Self, EntryError> {
-        let flow = Arc::new(bind_udp("flow", settings.flow).await?);
-        let peer = Arc::new(bind_udp("peer", settings.peer).await?);
-        let request = bind_tcp("request", settings.request).await?;
-        let admin = bind_tcp("admin", settings.admin).await?;
+        let (flow, flow_address) = bind_udp("flow", settings.flow).await?;
+        let (peer, peer_address) = bind_udp("peer", settings.peer).await?;
+        let (request, request_address) = bind_tcp("request", settings.request).await?;
+        let (admin, admin_address) = bind_tcp("admin", settings.admin).await?;
         let addresses = BoundAddresses {
-            flow: local("flow", settings.flow, flow.local_addr())?,
-            peer: local("peer", settings.peer, peer.local_addr())?,
-            request: local("request", settings.request, request.local_addr())?,
-            admin: local("admin", settings.admin, admin.local_addr())?,
+            flow: flow_address,
+            peer: peer_address,
+            request: request_address,
+            admin: admin_address,
         };
         let kernel = Arc::new(kernel(settings, &addresses, &flow, &peer)?);
         kernel.tracer.set_rate(settings.sampled_per_million);
@@ -190,31 +190,29 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Binds a socket for datagrams, and returns the address that it got.
 pub(crate) async fn bind_udp(
     key: &'static str,
     address: SocketAddr,
-) -> Result<UdpSocket, EntryError> {
+) -> Result<(Arc<UdpSocket>, SocketAddr), EntryError> {
     let unusable = |source| EntryError::Listen { key, address, source };
     let socket = UdpSocket::bind(address).await.map_err(unusable)?;
     // Nothing is sent before the runtime has seen the socket to be writable: the first datagrams
     // would be dropped.
     socket.writable().await.map_err(unusable)?;
-    Ok(socket)
+    let bound = socket.local_addr().map_err(unusable)?;
+    Ok((Arc::new(socket), bound))
 }
 
+/// Binds a socket for connections, and returns the address that it got.
 pub(crate) async fn bind_tcp(
     key: &'static str,
     address: SocketAddr,
-) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address).await.map_err(|source| EntryError::Listen { key, address, source })
-}
-
-pub(crate) fn local(
-    key: &'static str,
-    address: SocketAddr,
-    bound: io::Result<SocketAddr>,
-) -> Result<SocketAddr, EntryError> {
-    bound.map_err(|source| EntryError::Listen { key, address, source })
+) -> Result<(TcpListener, SocketAddr), EntryError> {
+    let unusable = |source| EntryError::Listen { key, address, source };
+    let listener = TcpListener::bind(address).await.map_err(unusable)?;
+    let bound = listener.local_addr().map_err(unusable)?;
+    Ok((listener, bound))
 }
 
 async fn read_flow(kernel: Arc<Kernel>, socket: Arc<UdpSocket>) {
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -3,7 +3,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::cookie_door::CookieDoor;
+use crate::cookie_door::{CookieDoor, Decision};
 use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
 use crate::ids::TargetId;
@@ -11,15 +11,6 @@
 use crate::segment::Segment;
 use crate::target_table::RegistrationChange;
 
-/// A decision on a packet, by the names that logs and metrics use.
-#[derive(Clone, Copy, Debug)]
-pub struct Decision {
-    /// What was done.
-    pub outcome: &'static str,
-    /// Why.
-    pub reason: &'static str,
-}
-
 /// Writes log lines within the bound of their kind.
 #[derive(Debug, Default)]
 pub struct FlowLog {
--- a/lib/src/flow_watch.rs
+++ b/lib/src/flow_watch.rs
@@ -2,6 +2,7 @@
 //!
 //! The table only helps to judge targets; packets are forwarded by their cookie without it.
 
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -92,21 +93,21 @@
             self.close(&segment.ends);
             return seen;
         }
-        if self.flows.len() >= MAX_WATCHED && !self.flows.contains_key(&segment.ends) {
-            return seen;
-        }
-        let fresh = || OpenFlow {
-            target,
-            last_seen: now,
-            newest_seq: segment.seq,
-            last_ack: segment.ack,
-            running_since: None,
+        let is_full = self.flows.len() >= MAX_WATCHED;
+        let flow = match self.flows.entry(segment.ends) {
+            Entry::Occupied(entry) => entry.into_mut(),
+            Entry::Vacant(_) if is_full => return seen,
+            Entry::Vacant(entry) => entry.insert(OpenFlow {
+                target,
+                last_seen: now,
+                newest_seq: segment.seq,
+                last_ack: segment.ack,
+                running_since: None,
+            }),
         };
-        let is_new = !self.flows.contains_key(&segment.ends);
-        let flow = self.flows.entry(segment.ends).or_insert_with(fresh);
         flow.last_seen = now;
         let has_data = segment.data_len > 0;
-        seen.is_repeat = has_data && !is_new && is_before(segment.seq, flow.newest_seq);
+        seen.is_repeat = has_data && is_before(segment.seq, flow.newest_seq);
         if is_before(flow.last_ack, segment.ack) {
             seen.is_progress = true;
             flow.last_ack = segment.ack;
--- a/lib/src/http_call.rs
+++ b/lib/src/http_call.rs
@@ -28,6 +28,49 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Reads the body of a call that concerns no single object.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the status stands for, or [`PlatformError::Nonsense`].
+    pub fn read<T: DeserializeOwned>(&self) -> Result<T, PlatformError> {
+        match self.status {
+            StatusCode::OK => decode(&self.body),
+            StatusCode::GONE => Err(PlatformError::Compacted),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    /// Reads the body of a call that reads or writes one object.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the status stands for, or [`PlatformError::Nonsense`].
+    pub fn read_object<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> Result<T, PlatformError> {
+        match self.status {
+            StatusCode::OK | StatusCode::CREATED => decode(&self.body),
+            status => Err(object_error(status, kind, name)),
+        }
+    }
+
+    /// Reads the answer to the removal of one object.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure that the status stands for.
+    pub fn read_removal(&self, kind: &str, name: &str) -> Result<(), PlatformError> {
+        match self.status {
+            StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
+            status => Err(object_error(status, kind, name)),
+        }
+    }
+}
+
 /// Caller of an HTTP API. A connection on which a call ran out of time is not used again.
 pub struct HttpCaller {
     base: String,
@@ -77,17 +120,12 @@
     }
 }
 
-/// Reads the JSON body of an answer.
-///
-/// # Errors
-///
-/// Returns [`PlatformError::Nonsense`] when it is no such body.
-pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(nonsense)
 }
 
 /// Returns the failure of a call for one object that a status stands for.
-pub fn object_error(status: StatusCode, kind: &str, name: &str) -> PlatformError {
+fn object_error(status: StatusCode, kind: &str, name: &str) -> PlatformError {
     let (kind, name) = (kind.into(), name.into());
     match status {
         StatusCode::NOT_FOUND => PlatformError::NotFound { kind, name },
@@ -99,7 +137,7 @@
 }
 
 /// Returns the failure that an unexpected status stands for.
-pub fn unexpected(status: StatusCode) -> PlatformError {
+fn unexpected(status: StatusCode) -> PlatformError {
     if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
         PlatformError::Unavailable(status.to_string())
     } else {
@@ -108,7 +146,7 @@
 }
 
 /// Turns a failure into one of the platform that is not reached.
-pub fn unavailable(err: impl std::fmt::Display) -> PlatformError {
+fn unavailable(err: impl std::fmt::Display) -> PlatformError {
     PlatformError::Unavailable(err.to_string())
 }
 
--- a/lib/src/http_platform.rs
+++ b/lib/src/http_platform.rs
@@ -4,12 +4,12 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{header, Method, StatusCode};
+use http::{header, Method};
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::http_call::{decode, object_error, unexpected, Answer, HttpCaller};
+use crate::http_call::{Answer, HttpCaller};
 use crate::ids::Version;
 use crate::platform::{ListedInstance, Listing, Object, Platform, PlatformError, Precondition};
 use crate::plugin::PlatformPlugin;
@@ -62,12 +62,7 @@
         path: &str,
         timeout: Duration,
     ) -> Result<T, PlatformError> {
-        let answer = self.call(Method::GET, path, None, Bytes::new(), timeout).await?;
-        match answer.status {
-            StatusCode::OK => decode(&answer.body),
-            StatusCode::GONE => Err(PlatformError::Compacted),
-            status => Err(unexpected(status)),
-        }
+        self.call(Method::GET, path, None, Bytes::new(), timeout).await?.read()
     }
 }
 
@@ -80,10 +75,7 @@
     async fn get(&self, kind: &str, name: &str) -> Result<Object, PlatformError> {
         let path = format!("/v1/objects/{kind}/{name}");
         let answer = self.call(Method::GET, &path, None, Bytes::new(), CALL_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK => decode(&answer.body),
-            status => Err(object_error(status, kind, name)),
-        }
+        answer.read_object(kind, name)
     }
 
     async fn put(
@@ -96,10 +88,7 @@
         let path = format!("/v1/objects/{kind}/{name}");
         let body = Bytes::from(body.to_string());
         let answer = self.call(Method::PUT, &path, Some(condition), body, CALL_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::CREATED => Ok(decode::<Written>(&answer.body)?.version),
-            status => Err(object_error(status, kind, name)),
-        }
+        Ok(answer.read_object::<Written>(kind, name)?.version)
     }
 
     async fn delete(&self, kind: &str, name: &str, version: Version) -> Result<(), PlatformError> {
@@ -107,10 +96,7 @@
         let condition = Some(Precondition::Version(version));
         let answer =
             self.call(Method::DELETE, &path, condition, Bytes::new(), CALL_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::NO_CONTENT => Ok(()),
-            status => Err(object_error(status, kind, name)),
-        }
+        answer.read_removal(kind, name)
     }
 
     async fn watch(
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -1,6 +1,7 @@
 //! Messages between an instance and the others.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use tokio::time::Instant;
 
@@ -15,7 +16,7 @@
 use crate::message::{EpochNotice, Frame, Message};
 use crate::metrics::Metrics;
 use crate::reader_choice::{rank, READING_INTERVAL};
-use crate::view::Member;
+use crate::view::{Member, View};
 
 /// Instances to which an instance passes on a change of several datagrams; few, since each costs the
 /// link as much as receiving the change.
@@ -23,6 +24,22 @@
 /// One in this many questions for changes goes to the reader.
 const READER_PULL_SHARE: u64 = 3;
 
+/// Tree of instances that a change goes down.
+#[derive(Debug)]
+pub(crate) struct Tree {
+    view: Arc<View>,
+    root: InstanceId,
+    number: u64,
+}
+
+impl Tree {
+    fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.view, &other.view)
+            && self.root == other.root
+            && self.number == other.number
+    }
+}
+
 fn records_message(records: RecordsMessage) -> Message {
     Message::Directory(DirectoryMessage::Records(records))
 }
@@ -61,11 +78,23 @@
 
     /// Sends a datagram of a change to the instances below this one in its tree.
     pub(crate) fn pass_on(&self, message: RecordsMessage, now: Instant) {
-        let Some(root) = &message.root else { return };
-        let push = (root.as_str(), message.status.complete);
-        let below = children(&self.view(), None, push, TREE_FAN_OUT, &self.id);
-        let below = below.iter().map(|child| child.peer);
-        self.link.send_paced(below, records_message(message), now);
+        let Some(root) = message.root.clone() else { return };
+        let tree = Tree { view: self.view(), root, number: message.status.complete };
+        self.link.send_paced(self.below(tree), records_message(message), now);
+    }
+
+    /// Returns the addresses of the instances below this one; a change has many datagrams, and they
+    /// all go the same way.
+    fn below(&self, tree: Tree) -> Vec<SocketAddr> {
+        let mut last = self.branch.lock();
+        if let Some((_, below)) = last.as_ref().filter(|(it, _)| it.is_same(&tree)) {
+            return below.clone();
+        }
+        let push = (tree.root.as_str(), tree.number);
+        let below = children(&tree.view, None, push, TREE_FAN_OUT, &self.id);
+        let below: Vec<_> = below.iter().map(|child| child.peer).collect();
+        *last = Some((tree, below.clone()));
+        below
     }
 
     pub(crate) fn ask_for_missing(&self, now: Instant) {
@@ -144,8 +173,7 @@
         records: RecordsMessage,
     ) {
         let part = records.part;
-        let message = records.root.is_some().then(|| records.clone());
-        let (pull, is_passed_on) = {
+        let (pull, relay) = {
             let mut knowledge = self.knowledge.lock();
             let Knowledge { directory, exchange, .. } = &mut *knowledge;
             let received = exchange.on_records(directory, sender, from, records, now);
@@ -157,12 +185,12 @@
                     None
                 }
             };
-            (pull, received.is_passed_on)
+            (pull, received.relay)
         };
         if let Some(pull) = pull {
             self.send_pull(from, pull);
         }
-        if let Some(message) = message.filter(|_| is_passed_on) {
+        if let Some(message) = relay {
             self.pass_on(message, now);
         }
     }
--- a/lib/src/instance_reader.rs
+++ b/lib/src/instance_reader.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use crate::cookie_instance::CookieInstance;
@@ -11,7 +10,7 @@
 use crate::directory_message::DirectoryMessage;
 use crate::ids::Version;
 use crate::reader_choice::{rank, ReaderChoice};
-use crate::route::{DirectoryRecord, Part, RecordBody};
+use crate::route::{DirectoryRecord, Part};
 
 /// Time between two clearings of what was removed long ago.
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
@@ -93,24 +92,9 @@
         self.knowledge.lock().choice.note_failed(rank, jitter, now);
     }
 
-    /// Returns the time since the store last confirmed a part.
-    pub fn age(&self, part: Part, now: Instant) -> Option<Duration> {
-        self.knowledge.lock().directory.age(part, now)
-    }
-
-    /// Compares a listing with what is known.
-    pub fn differences(
-        &self,
-        part: Part,
-        version: Version,
-        listed: Vec<(SmolStr, Version, RecordBody)>,
-    ) -> Vec<DirectoryRecord> {
-        self.knowledge.lock().directory.differences(part, version, listed)
-    }
-
-    /// Returns the record that says that the store no longer has an entry.
-    pub fn removal(&self, part: Part, name: &str, version: Version) -> DirectoryRecord {
-        self.knowledge.lock().directory.removal(part, name, version)
+    /// Runs `f` with the directory.
+    pub fn with_directory<T>(&self, f: impl FnOnce(&Directory) -> T) -> T {
+        f(&self.knowledge.lock().directory)
     }
 
     /// Takes what was read from the store, and tells it to an audience.
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -43,12 +43,16 @@
     mixed ^ (mixed >> 31)
 }
 
+/// Returns the place of an instance among all for a subject: the score of a number, then the name.
+pub fn place<'a>(subject: &str, id: &'a str, number: u64) -> (u64, &'a str) {
+    (score(seed(subject, id), number), id)
+}
+
 /// Returns the instance of a data centre that stewards the targets of a service there, or `None`
 /// when the data centre has no live instance.
 pub fn steward_of(view: &View, service: &str, data_centre: &str) -> Option<InstanceId> {
-    let steward = view
-        .eligible_in(data_centre)
-        .max_by_key(|member| (score(seed(service, &member.id), u64::MAX), &member.id));
+    let steward =
+        view.eligible_in(data_centre).max_by_key(|member| place(service, &member.id, u64::MAX));
     steward.map(|member| member.id.clone())
 }
 
--- a/lib/src/reader_choice.rs
+++ b/lib/src/reader_choice.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::Instant;
 
-use crate::owner::{score, seed};
+use crate::owner::place;
 use crate::view::View;
 
 /// Time between two messages of a reader.
@@ -31,12 +31,14 @@
 /// Longest pause after failed calls to the store.
 pub const MAX_PAUSE: Duration = Duration::from_millis(1_600);
 
+/// What instances are ordered for.
+const SUBJECT: &str = "reader";
+
 /// Returns the number of live instances that come before `me` in the order of readers.
 pub fn rank(view: &View, me: &str) -> u32 {
-    let place = |id: &str| (score(seed("reader", id), 0), id.to_owned());
-    let mine = place(me);
+    let mine = place(SUBJECT, me, 0);
     let members = view.members().iter().filter(|member| member.is_eligible());
-    let before = members.filter(|member| place(&member.id) < mine).count();
+    let before = members.filter(|member| place(SUBJECT, &member.id, 0) < mine).count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
--- a/lib/src/silence.rs
+++ b/lib/src/silence.rs
@@ -28,9 +28,10 @@
 pub const CERTAIN_CHECKS: u32 = 2;
 
 /// What is believed of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
     /// Answers as far as is known.
+    #[default]
     Answering,
     /// Showed signs of silence; avoided until then.
     Suspected {
@@ -58,7 +59,7 @@
 }
 
 /// Judgement of one target.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Silence {
     condition: Condition,
     signs: u32,
@@ -69,20 +70,6 @@
     is_checking: bool,
 }
 
-impl Default for Silence {
-    fn default() -> Self {
-        Self {
-            condition: Condition::Answering,
-            signs: 0,
-            failed_checks: 0,
-            first_failed: None,
-            witnessed: None,
-            next_check: None,
-            is_checking: false,
-        }
-    }
-}
-
 impl Silence {
     /// Returns what is believed of the target.
     pub fn condition(&self) -> Condition {
--- a/lib/tests/test_cookie_door.rs
+++ b/lib/tests/test_cookie_door.rs
@@ -184,7 +184,7 @@
 
     /// Fails the checks that are due, and returns their targets.
     fn fail_checks(&mut self) -> Vec<SmolStr> {
-        let due = self.door.tick(Instant::now()).checks;
+        let due = self.door.tick(Instant::now());
         let targets: Vec<_> = due.into_iter().map(|check| check.target).collect();
         for target in &targets {
             self.door.on_check(target, CheckOutcome::Silent, Instant::now());
@@ -268,7 +268,7 @@
     let mut bed = Bed::of_six();
     let (_, target, _) = bed.open(MOVES);
     tokio::time::advance(ANSWER_TIME).await;
-    let due = bed.door.tick(Instant::now()).checks;
+    let due = bed.door.tick(Instant::now());
     assert_eq!(due.len(), 1);
     bed.door.on_check(&due[0].target, CheckOutcome::Healthy, Instant::now());
     assert!((0..8).any(|_| bed.open_answered(MOVES).1 == target));
@@ -283,7 +283,7 @@
             bed.data(ends, 101, 500, cookie);
         }
         tokio::time::advance(ANSWER_TIME).await;
-        for check in bed.door.tick(Instant::now()).checks {
+        for check in bed.door.tick(Instant::now()) {
             bed.door.on_check(&check.target, CheckOutcome::Healthy, Instant::now());
         }
     }
