settings: peer_advertised is one address that others reach

Found on reading the change once more: a list was accepted, and all but its first address ignored without a word; 0.0.0.0 too. Test red first.

--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -253,7 +253,7 @@
             is_first_start: self.flag("instance", "first_start"),
             flow: self.address("listen", "flow"),
             peer: self.own_address("listen", "peer"),
-            peer_advertised: self.addresses("listen", "peer_advertised").first().copied(),
+            peer_advertised: self.optional_address("listen", "peer_advertised"),
             link_mbps: self.decimal("listen", "link_mbps"),
             request: self.ip_form_address("listen", "request", Self::own_address),
             admin: self.address("listen", "admin"),
@@ -335,6 +335,11 @@
         address
     }
 
+    fn optional_address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        let is_set = !self.text(section, key).is_empty();
+        is_set.then(|| self.own_address(section, key))
+    }
+
     /// Reads an address that only the form `ip` uses; with other forms it may be absent.
     fn ip_form_address(
         &mut self,
--- a/lib/src/settings_spec.rs
+++ b/lib/src/settings_spec.rs
@@ -81,7 +81,7 @@
     spec("instance", "first_start", ValueKind::Flag, "", Some("false"), "Whether the whole deployment starts for the first time; then most instances wait to be told by others instead of asking the platform. With a form other than `ip`."),
     spec("listen", "flow", ValueKind::Address, "", Some("0.0.0.0:6080"), "Address of the flow door: IP packets in UDP."),
     spec("listen", "peer", ValueKind::Address, "", None, "Address for messages between instances: one of the instance's own IP numbers."),
-    spec("listen", "peer_advertised", ValueKind::Addresses, "", Some(""), "Address at which other instances reach `peer`, where something between them translates addresses; with a form other than `ip`."),
+    spec("listen", "peer_advertised", ValueKind::Address, "", Some(""), "Address at which other instances reach `peer`, where something between them translates addresses; with a form other than `ip`."),
     spec("listen", "link_mbps", LINK, "Mbit/s", Some("100"), "Speed of the instance's link; large changes between instances use at most half of it. With a form other than `ip`."),
     spec("listen", "request", ValueKind::Address, "", None, "Address of the request door, HTTP: one of the instance's own IP numbers. Not used with a form other than `ip`."),
     spec("listen", "admin", ValueKind::Address, "", Some("127.0.0.1:9100"), "Address of metrics, health and status."),
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -91,3 +91,16 @@
 fn markdown_page_in_docs_is_current() {
     expect_file!["../../docs/SETTINGS.md"].assert_eq(&settings_reference::markdown());
 }
+
+#[test]
+fn parse_advertised_address_is_one_that_others_reach() {
+    let with = |value: &str| {
+        let peer = "[listen]\n";
+        assert!(GOOD.contains(peer));
+        GOOD.replace(peer, &format!("{peer}peer_advertised = {value}\n"))
+    };
+    let read = |value: &str| Settings::parse(Path::new("entry.ini"), &with(value));
+    assert_eq!(read("10.0.0.9:1").unwrap().peer_advertised, Some(([10, 0, 0, 9], 1).into()));
+    assert!(read("10.0.0.9:1,10.0.0.8:1").is_err(), "two addresses");
+    assert!(read("0.0.0.0:1").is_err(), "no address of its own");
+}
