--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use bpaf::Bpaf;
 use hollyhead::cookie_entry::CookieEntry;
 use hollyhead::entry::Entry;
+use hollyhead::log_message::{LEAVING, LEFT, STARTED};
 use hollyhead::logging;
 use hollyhead::settings::{Settings, IP_FORM};
 use hollyhead::settings_file::SettingsFile;
@@ -75,7 +76,7 @@
     let entry = CookieEntry::start(&settings).await?;
     log::info!(
         flow:% = entry.flow(), peer:% = entry.peer(), admin:% = entry.admin();
-        "started"
+        "{STARTED}"
     );
     tokio::select! {
         () = signals.stop() => {}
@@ -114,9 +115,9 @@
 }
 
 async fn leave(leaving: impl Future<Output = ()>, mut signals: Signals) {
-    log::info!("leaving; a second SIGTERM stops at once");
+    log::info!("{LEAVING}");
     tokio::select! {
-        () = leaving => log::info!("left"),
+        () = leaving => log::info!("{LEFT}"),
         () = signals.stop() => log::warn!("stopped before leaving was complete"),
     }
 }
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use hollyhead::log_message::{REFUSED, RELOADED};
 use hollyhead::settings::Settings;
 use hollyhead::settings_file::SettingsFile;
 use tokio::signal::unix::{signal, SignalKind};
@@ -32,13 +33,13 @@
             Some(Err(err)) => {
                 log::error!(
                     cause = err.to_string().as_str();
-                    "changed settings refused; the former ones stay in force"
+                    "{REFUSED}"
                 );
             }
             Some(Ok(new)) => {
                 let fixed = settings.fixed_changes(&new).join(",");
                 apply(&new);
-                log::info!(at_next_start = fixed.as_str(); "settings reloaded");
+                log::info!(at_next_start = fixed.as_str(); "{RELOADED}");
                 settings = new;
             }
         }
--- a/lib/src/cookie_door.rs
+++ b/lib/src/cookie_door.rs
@@ -18,6 +18,7 @@
 use crate::flow_watch::FlowWatch;
 use crate::health_check::CheckOutcome;
 use crate::ids::{Cookie, DataCentreId, FlowHash, InstanceId, TargetId, TargetToken};
+use crate::log_message::CONDITION;
 use crate::placement::{choose, Candidate, Trust};
 use crate::route::{Part, RecordBody};
 use crate::route_table::{Lookup, RouteTable};
@@ -513,7 +514,7 @@
         let target = entry.registration.target.clone();
         log::info!(
             target = target.as_str(), condition:? = condition, own:? = is_own;
-            "condition of a target changed"
+            "{CONDITION}"
         );
         if is_own {
             let data_centre = entry.registration.data_centre.clone();
--- a/lib/src/cookie_entry.rs
+++ b/lib/src/cookie_entry.rs
@@ -15,6 +15,7 @@
 use crate::directory_reader;
 use crate::entry::{bind_tcp, bind_udp, epoch, EntryError, DATAGRAM_BYTES};
 use crate::health_check::check;
+use crate::log_message::CHECKED;
 use crate::network::UdpNetwork;
 use crate::platform::Platform;
 use crate::plugin;
@@ -203,7 +204,7 @@
     let outcome = check(due.address, &due.path).await;
     log::info!(
         target = due.target.as_str(), outcome:? = outcome;
-        "health of a target checked"
+        "{CHECKED}"
     );
     instance.on_check(&due.target, outcome, Instant::now());
 }
--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -10,6 +10,7 @@
 use crate::http_call::nonsense;
 use crate::ids::Version;
 use crate::instance_reader::Audience;
+use crate::log_message::{FOLLOWING, HISTORY_GONE, STORE_LOST, YIELDED};
 use crate::metrics::Metrics;
 use crate::platform::{Listing, Object, Platform, PlatformError};
 use crate::route::{DirectoryRecord, Part, RecordBody, Registration, Routing};
@@ -45,7 +46,7 @@
             Ok(())
         };
         if let Err(err) = result {
-            log::warn!(cause = err.to_string().as_str(); "store lost");
+            log::warn!(cause = err.to_string().as_str(); "{STORE_LOST}");
             Metrics::count(&instance.metrics.platform_calls, "failed");
             instance.note_store_failed(Instant::now());
         }
@@ -72,7 +73,7 @@
         tokio::select! {
             result = self.read() => result,
             () = until_stop(self.instance) => {
-                log::info!("another instance follows the store; this one stops");
+                log::info!("{YIELDED}");
                 self.instance.note_stopped();
                 Ok(())
             }
@@ -89,7 +90,7 @@
     async fn read(&self) -> Result<(), PlatformError> {
         let has_lapsed = self.may_have_lapsed();
         let [routing, targets, outages] = self.list_all(Audience::Others, has_lapsed).await?;
-        log::info!(version = targets; "following the store");
+        log::info!(version = targets; "{FOLLOWING}");
         self.instance.note_reading();
         tokio::try_join!(
             self.watch(Part::Routing, routing),
@@ -158,7 +159,7 @@
             let result = self.platform.watch(&[part.kind()], version, WATCH_TIME).await;
             let changes = match result {
                 Err(PlatformError::Compacted) => {
-                    log::warn!(part:? = part; "history is gone; listing again");
+                    log::warn!(part:? = part; "{HISTORY_GONE}");
                     version = self.list(part, false, Audience::Others).await?;
                     continue;
                 }
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -7,6 +7,7 @@
 use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
 use crate::ids::TargetId;
+use crate::log_message::{DECISION, OUTAGES, REGISTRATION, ROUTING};
 use crate::route::Part;
 use crate::segment::Segment;
 use crate::target_table::RegistrationChange;
@@ -36,7 +37,7 @@
             routing_version = door.routes().version(),
             routing_age_ms = door.routing_age(now).map_or(-1, |age| age.as_millis() as i64),
             left_out;
-            "decision on a flow"
+            "{DECISION}"
         );
     }
 
@@ -52,12 +53,12 @@
         match part {
             Part::Routing => {
                 let (version, routes) = (door.routes().version(), door.routes().len());
-                log::info!(version, routes; "routing in force");
+                log::info!(version, routes; "{ROUTING}");
             }
             Part::Targets => self.registrations(registrations, now),
             Part::Outages => {
                 let out: Vec<_> = directory.records(part).map(|(name, _)| name.as_str()).collect();
-                log::info!(out = SmolStr::new(out.join(",")).as_str(); "data centres out");
+                log::info!(out = SmolStr::new(out.join(",")).as_str(); "{OUTAGES}");
             }
         }
     }
@@ -67,7 +68,7 @@
             let Some(left_out) = self.bound.pass(change.label(), now) else { continue };
             log::info!(
                 target = target.as_str(), change = change.label(), left_out;
-                "registration changed"
+                "{REGISTRATION}"
             );
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod lending;
 pub mod log_chain;
 pub mod log_limit;
+pub mod log_message;
 pub mod log_writer;
 pub mod logging;
 pub mod lookup;
--- a/lib/src/log_chain.rs
+++ b/lib/src/log_chain.rs
@@ -7,27 +7,26 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 
+use crate::log_message::{
+    CHECKED, CONDITION, DECISION, FOLLOWING, HISTORY_GONE, LEAVING, LEFT, OUTAGES, REFUSED,
+    REGISTRATION, RELOADED, ROUTING, STARTED, STORE_LOST, YIELDED,
+};
+
 /// Time around a flow's own lines in which other lines may explain them.
 pub const CONTEXT: Duration = Duration::from_secs(6);
-const DECISION: &str = "decision on a flow";
-const CONDITION: &str = "condition of a target changed";
-const CHECKED: &str = "health of a target checked";
-const REGISTRATION: &str = "registration changed";
-const OUTAGES: &str = "data centres out";
 /// Messages that tell a change of what an instance knows or of its own state.
-const INSTANCE_CHANGES: [&str; 12] = [
+const INSTANCE_CHANGES: [&str; 11] = [
     OUTAGES,
-    "started",
-    "leaving; a second SIGTERM stops at once",
-    "left",
-    "routing in force",
-    "following the store",
-    "store lost",
-    "settings reloaded",
-    "changed settings refused; the former ones stay in force",
-    "history is gone; listing again",
-    "another instance follows the store; this one stops",
-    "log lines lost",
+    ROUTING,
+    FOLLOWING,
+    YIELDED,
+    STORE_LOST,
+    HISTORY_GONE,
+    STARTED,
+    LEAVING,
+    LEFT,
+    RELOADED,
+    REFUSED,
 ];
 
 /// A log line of an instance.
@@ -111,11 +110,11 @@
                 write!(f, "registration of target {target} changed: {change}")
             }
             OUTAGES => write!(f, "data centres out now: {}", self.field("out")),
-            "routing in force" => {
+            ROUTING => {
                 let (version, routes) = (self.field("version"), self.field("routes"));
                 write!(f, "took version {version} of the routing, {routes} routes")
             }
-            "store lost" => write!(f, "lost the platform: {}", self.field("cause")),
+            STORE_LOST => write!(f, "lost the platform: {}", self.field("cause")),
             message => write!(f, "{message}"),
         }
     }
