--- a/soak/src/judge.rs
+++ b/soak/src/judge.rs
@@ -131,6 +131,20 @@
 }
 
 impl History {
+    /// Notes the start of a disturbance, and returns its number.
+    pub fn disturb(&mut self, subject: Subject, is_planned: bool) -> usize {
+        let from = Instant::now();
+        self.disturbances.push(Disturbance { subject, from, until: None, is_planned });
+        self.disturbances.len() - 1
+    }
+
+    /// Notes the end of a disturbance.
+    pub fn end(&mut self, number: usize) {
+        if let Some(disturbance) = self.disturbances.get_mut(number) {
+            disturbance.until = Some(Instant::now());
+        }
+    }
+
     /// Returns the promises that were broken.
     pub fn violations(&self) -> Vec<Violation> {
         let mut violations = Vec::new();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,9 +2,11 @@
 //! knows only what callers, targets and the operator see.
 
 pub mod addresses;
+pub mod configuration;
 pub mod fault_plan;
 pub mod instance_process;
 pub mod judge;
 pub mod load;
 pub mod run;
+pub mod targets;
 pub mod world;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,6 +1,5 @@
 //! Everything that surrounds the instances of a run, and the faults that are done to them.
 
-use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::Path;
 use std::sync::Arc;
@@ -8,47 +7,47 @@
 
 use anyhow::{Context, Result};
 use parking_lot::Mutex;
-use serde_json::{json, Value};
+use serde_json::json;
 use smol_str::{format_smolstr, SmolStr};
-use testutils::echo_target::{EchoTarget, EchoTargetSetup, TargetEvent};
+use testutils::echo_target::TargetEvent;
 use testutils::fault_proxy::{ConnectionFault, ConnectionProxy, DatagramFaults, DatagramProxy};
 use testutils::flow_router::{FlowRouter, RoutedInstance};
 use testutils::instance_settings::{cookie_text, CookieAddresses};
 use testutils::object_server::{ObjectServer, StoreManner};
-use testutils::object_store::{ObjectStore, StoreLimits, SERVERS};
+use testutils::object_store::{ObjectStore, StoreLimits};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::addresses::{Addresses, Role};
+use crate::configuration::{Configuration, COLD_FLOWS_PER_SECOND};
 use crate::fault_plan::{Change, Fault, StoreFault};
 use crate::instance_process::{InstanceProcess, Sent};
-use crate::judge::{Disturbance, History, Outage, RouteLife, Subject, TargetLife, OUTAGE_BOUND};
+use crate::judge::{Disturbance, History, Outage, RouteLife, Subject, OUTAGE_BOUND};
+use crate::targets::Targets;
 
 /// Names of the data centres.
 pub const DATA_CENTRES: [&str; 3] = ["horn-east-a", "horn-east-b", "horn-east-c"];
-const SERVICES: [&str; 2] = ["quaydesk", "rosterbook"];
+/// Instances that settings name as those to ask for others, as few as the users' platform names.
 const SEEDS: usize = 3;
+/// Time from SIGTERM to SIGKILL.
 const GRACE: Duration = Duration::from_secs(6);
+/// Time after which an ended process starts again.
 const RESTART_AFTER: Duration = Duration::from_millis(300);
-const LOOK: Duration = Duration::from_millis(50);
+/// Time between two looks at whether something has come about.
+pub const LOOK: Duration = Duration::from_millis(50);
+/// Pause between two planned stops of a series.
 const STOP_GAP: Duration = Duration::from_millis(500);
-/// Time that a target which is leaving goes on after the store took its word.
-const DRAIN_TIME: Duration = Duration::from_millis(4_500);
-/// Time after which an address may go to another target.
-const REUSE_AFTER: Duration = Duration::from_secs(2);
-const COLD_TIME: Duration = Duration::from_secs(3);
-const COLD_FLOWS_PER_SECOND: usize = 10;
+/// Factor and flows a second that cold targets may get beyond what they bear.
 const COLD_MULTIPLIER: f64 = 1.5;
 const COLD_SLACK: usize = 5;
+/// Time that a slow store takes: some more than a reader waits for another one's word.
 const SLOW_STORE: Duration = Duration::from_millis(700);
+/// Time that slow messages take: more than a reader's interval.
 const SLOW_PEERS: Duration = Duration::from_millis(300);
-const MANY_ROUTES: u16 = 1_200;
+/// Time between two changes of a series, within the pause between two watches.
 const CHANGE_GAP: Duration = Duration::from_millis(150);
 const CHANGES_IN_SERIES: usize = 4;
-const ROUTE_IP: Ipv4Addr = Ipv4Addr::new(198, 18, 0, 1);
-const FIRST_EXTRA_PORT: u16 = 10_000;
-const SLOTS: usize = 8;
 
 /// Sizes of a world.
 #[derive(Clone, Copy, Debug)]
@@ -68,26 +67,6 @@
     path_to_store: ConnectionProxy,
 }
 
-struct Target {
-    service: SmolStr,
-    data_centre: SmolStr,
-    running: Option<EchoTarget>,
-    address: usize,
-}
-
-#[derive(Default)]
-struct Configuration {
-    version: u64,
-    routes: Vec<(SocketAddrV4, SmolStr)>,
-    next_port: u16,
-}
-
-struct Places {
-    free: VecDeque<(usize, Instant)>,
-    next: usize,
-    started: u64,
-}
-
 /// A world that ends with its run, however the run ends.
 pub struct Running(pub Arc<World>);
 
@@ -101,13 +80,11 @@
 pub struct World {
     addresses: Addresses,
     instances: Vec<Instance>,
-    targets: Vec<tokio::sync::Mutex<Target>>,
-    places: Mutex<Places>,
+    targets: Targets,
     configuration: Mutex<Configuration>,
     store: Arc<ObjectStore>,
     router: Arc<FlowRouter>,
     peer_faults: Arc<Mutex<DatagramFaults>>,
-    events: UnboundedSender<TargetEvent>,
     /// Addresses that callers use: those of routes that stay.
     pub services: Arc<Mutex<Vec<SocketAddrV4>>>,
     /// What happens and is seen.
@@ -146,24 +123,20 @@
         tasks.spawn(Arc::clone(&router).poll());
         let cold = (COLD_FLOWS_PER_SECOND as f64 * COLD_MULTIPLIER) as usize + COLD_SLACK;
         let history = History { cold_flows_per_second: cold, ..History::default() };
+        let history = Arc::new(Mutex::new(history));
+        let targets =
+            Targets::new(size.targets, addresses, Arc::clone(&store), Arc::clone(&history), events);
         let world = Arc::new(Self {
-            targets: (0..size.targets)
-                .map(|index| tokio::sync::Mutex::new(Target::new(index)))
-                .collect(),
-            places: Mutex::new(Places { free: VecDeque::new(), next: 0, started: 0 }),
-            configuration: Mutex::new(Configuration {
-                next_port: FIRST_EXTRA_PORT,
-                ..Default::default()
-            }),
+            targets,
+            configuration: Mutex::default(),
             services: Arc::default(),
-            history: Arc::new(Mutex::new(history)),
+            history,
             tasks: Mutex::new(tasks),
             addresses,
             instances,
             store,
             router,
             peer_faults,
-            events,
         });
         world.begin().await?;
         Ok(world)
@@ -224,15 +197,10 @@
                 store.sweep(Instant::now());
             }
         });
-        for (service, port) in SERVICES.iter().zip(8_080..) {
-            let address = SocketAddrV4::new(ROUTE_IP, port);
-            self.configuration.lock().routes.push((address, SmolStr::new(service)));
-            self.services.lock().push(address);
-        }
+        let addresses = self.configuration.lock().routes().iter().map(|(it, _)| *it).collect();
+        *self.services.lock() = addresses;
         self.write_configuration();
-        for index in 0..self.targets.len() {
-            self.start_target(index, Duration::ZERO).await?;
-        }
+        self.targets.start_all().await?;
         for instance in &self.instances {
             instance.process.lock().start()?;
         }
@@ -279,14 +247,16 @@
                 self.store.compact();
                 Ok(())
             }
-            Fault::CrashTarget(index) => self.crash_target(index).await,
+            Fault::CrashTarget(index) => self.targets.crash(index).await,
             Fault::FreezeTarget(index, time) => {
-                self.harm_target(index, time, |mood, is_on| mood.is_frozen = is_on).await
+                self.targets.harm(index, time, |mood, is_on| mood.is_frozen = is_on).await;
+                Ok(())
             }
             Fault::HoldHealth(index, time) => {
-                self.harm_target(index, time, |mood, is_on| mood.holds_health = is_on).await
+                self.targets.harm(index, time, |mood, is_on| mood.holds_health = is_on).await;
+                Ok(())
             }
-            Fault::ReplaceTarget(index) => self.replace_target(index).await,
+            Fault::ReplaceTarget(index) => self.targets.replace(index).await,
             Fault::TakeOut(index, time) => self.take_out(DATA_CENTRES[index], time).await,
             Fault::Configure(change) => {
                 self.configure(change).await;
@@ -376,114 +346,6 @@
         Ok(())
     }
 
-    async fn crash_target(&self, index: usize) -> Result<()> {
-        let mut target = self.targets[index].lock().await;
-        let Some(id) = target.running.take().map(|it| it.setup().id.clone()) else { return Ok(()) };
-        let mark = self.disturb(Subject::Target(id.clone()), false);
-        self.leave_place(&id, target.address);
-        drop(target);
-        tokio::time::sleep(REUSE_AFTER).await;
-        self.start_target(index, COLD_TIME).await?;
-        self.end(mark);
-        Ok(())
-    }
-
-    async fn harm_target(
-        &self,
-        index: usize,
-        time: Duration,
-        harm: impl Fn(&mut testutils::echo_target::TargetMood, bool),
-    ) -> Result<()> {
-        let id = {
-            let target = self.targets[index].lock().await;
-            let Some(running) = &target.running else { return Ok(()) };
-            running.set_mood(|mood| harm(mood, true));
-            running.setup().id.clone()
-        };
-        let mark = self.disturb(Subject::Target(id.clone()), false);
-        tokio::time::sleep(time).await;
-        let target = self.targets[index].lock().await;
-        if let Some(running) = target.running.as_ref().filter(|it| it.setup().id == id) {
-            running.set_mood(|mood| harm(mood, false));
-        }
-        self.end(mark);
-        Ok(())
-    }
-
-    async fn replace_target(&self, index: usize) -> Result<()> {
-        let mut target = self.targets[index].lock().await;
-        let Some(running) = &target.running else { return Ok(()) };
-        let id = running.setup().id.clone();
-        running.set_mood(|mood| mood.is_draining = true);
-        while self.store.server(&id).is_none_or(|spec| spec["state"] != "draining") {
-            tokio::time::sleep(LOOK).await;
-        }
-        self.with_life(&id, |life| life.drained = Some(Instant::now()));
-        tokio::time::sleep(DRAIN_TIME).await;
-        target.running = None;
-        while !self.store.remove(SERVERS, &id) {
-            tokio::time::sleep(LOOK).await;
-        }
-        self.leave_place(&id, target.address);
-        drop(target);
-        self.start_target(index, COLD_TIME).await
-    }
-
-    async fn start_target(&self, index: usize, cold: Duration) -> Result<()> {
-        let mut target = self.targets[index].lock().await;
-        let (place, number) = self.take_place();
-        target.address = place;
-        let id = format_smolstr!("i-{number:04x}");
-        let setup = EchoTargetSetup {
-            id: id.clone(),
-            service: target.service.clone(),
-            data_centre: target.data_centre.clone(),
-            address: self.addresses.target(place),
-            caller_port: self.addresses.flow_port,
-            slots: SLOTS,
-            cold,
-        };
-        let life = TargetLife {
-            service: target.service.clone(),
-            data_centre: target.data_centre.clone(),
-            started: Instant::now(),
-            cold,
-            drained: None,
-            ended: None,
-        };
-        self.history.lock().targets.insert(id, life);
-        let store = Arc::clone(&self.store);
-        target.running = Some(EchoTarget::start(setup, store, self.events.clone()).await?);
-        Ok(())
-    }
-
-    /// Returns a place for a target: one that was left long enough ago, or a new one.
-    fn take_place(&self) -> (usize, u64) {
-        let mut places = self.places.lock();
-        places.started += 1;
-        let number = places.started;
-        let is_free = |(_, at): &(usize, Instant)| Instant::now() >= *at + REUSE_AFTER;
-        if places.free.front().is_some_and(is_free) {
-            if let Some((place, _)) = places.free.pop_front() {
-                return (place, number);
-            }
-        }
-        places.next += 1;
-        (places.next - 1, number)
-    }
-
-    fn leave_place(&self, id: &str, place: usize) {
-        let now = Instant::now();
-        self.with_life(id, |life| life.ended = Some(now));
-        self.places.lock().free.push_back((place, now));
-    }
-
-    fn with_life(&self, id: &str, change: impl FnOnce(&mut TargetLife)) {
-        if let Some(life) = self.history.lock().targets.get_mut(id) {
-            change(life);
-        }
-    }
-
     async fn take_out(&self, data_centre: &str, time: Duration) -> Result<()> {
         while self.store.write("evacuations", data_centre, json!({})).is_none() {
             tokio::time::sleep(LOOK).await;
@@ -511,7 +373,8 @@
                 Change::Series => Change::DropRoute,
                 other => other,
             };
-            self.change_routes(step_change);
+            let added = self.configuration.lock().change(step_change);
+            self.services.lock().extend(added);
             while !self.write_configuration() {
                 tokio::time::sleep(LOOK).await;
             }
@@ -519,43 +382,20 @@
         }
     }
 
-    fn change_routes(&self, change: Change) {
-        let mut configuration = self.configuration.lock();
-        let count = match change {
-            Change::AddRoute | Change::Series => 1,
-            Change::AddManyRoutes => MANY_ROUTES,
-            Change::DropRoute => 0,
-        };
-        for _ in 0..count {
-            let address = SocketAddrV4::new(ROUTE_IP, configuration.next_port);
-            configuration.next_port = configuration.next_port.wrapping_add(1).max(FIRST_EXTRA_PORT);
-            configuration.routes.push((address, SERVICES[0].into()));
-        }
-        if count == 1 {
-            if let Some((address, _)) = configuration.routes.last() {
-                self.services.lock().push(*address);
-            }
-        }
-        if change == Change::DropRoute && configuration.routes.len() > SERVICES.len() {
-            configuration.routes.remove(SERVICES.len());
-        }
-    }
-
     /// Writes the configuration; tells whether the store took it.
     fn write_configuration(&self) -> bool {
         let mut configuration = self.configuration.lock();
-        configuration.version += 1;
-        if self.store.write("config", "main", configuration.spec()).is_none() {
+        if self.store.write("config", "main", configuration.advance()).is_none() {
             return false;
         }
         let now = Instant::now();
         let mut history = self.history.lock();
-        for (address, service) in &configuration.routes {
+        for (address, service) in configuration.routes() {
             let added = || RouteLife { service: service.clone(), added: now, dropped: None };
             history.routes.entry(*address).or_insert_with(added);
         }
         for (address, life) in &mut history.routes {
-            if !configuration.routes.iter().any(|(it, _)| it == address) {
+            if !configuration.routes().iter().any(|(it, _)| it == address) {
                 life.dropped.get_or_insert(now);
             }
         }
@@ -572,16 +412,11 @@
     }
 
     fn disturb(&self, subject: Subject, is_planned: bool) -> usize {
-        let mut history = self.history.lock();
-        let from = Instant::now();
-        history.disturbances.push(Disturbance { subject, from, until: None, is_planned });
-        history.disturbances.len() - 1
+        self.history.lock().disturb(subject, is_planned)
     }
 
     fn end(&self, mark: usize) {
-        if let Some(disturbance) = self.history.lock().disturbances.get_mut(mark) {
-            disturbance.until = Some(Instant::now());
-        }
+        self.history.lock().end(mark);
     }
 }
 
@@ -618,45 +453,6 @@
     }
 }
 
-impl Target {
-    fn new(index: usize) -> Self {
-        let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()].into();
-        let service = SERVICES[index / DATA_CENTRES.len() % SERVICES.len()].into();
-        Self { service, data_centre, running: None, address: 0 }
-    }
-}
-
-impl Configuration {
-    fn spec(&self) -> Value {
-        let route = |(address, service): &(SocketAddrV4, SmolStr)| {
-            json!({
-                "name": format!("r{}", address.port()),
-                "hostname": address.ip(),
-                "path-prefix": format!("/{}/", address.port()),
-                "type": "unsafe",
-                "timeout-ms": 5_000,
-                "aim-ms": 200,
-                "priority": 0,
-                "service": service,
-            })
-        };
-        let service = |name: &&str| {
-            json!({
-                "name": name,
-                "health-path": "/healthz",
-                "cold-start-s": COLD_TIME.as_secs(),
-                "cold-per-s": COLD_FLOWS_PER_SECOND,
-            })
-        };
-        json!({
-            "version": self.version,
-            "routes": self.routes.iter().map(route).collect::<Vec<_>>(),
-            "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
-            "limits": { "idle-timeout-ms": 30_000 },
-        })
-    }
-}
-
 fn routed(addresses: &Addresses) -> impl Fn((usize, &Instance)) -> RoutedInstance + '_ {
     |(index, instance)| RoutedInstance {
         name: instance.name.clone(),
