--- a/lib/src/data_centre_transitions.rs
+++ b/lib/src/data_centre_transitions.rs
@@ -13,7 +13,7 @@
 
 /// Time over which the share of new flows that a data centre accepts grows from none to all after
 /// it is back in service.
-pub const RETURN_RAMP: Duration = Duration::from_secs(10);
+pub const RETURN_RAMP: Duration = Duration::from_secs(5);
 /// Time after a data centre goes out of service during which its flows are reset.
 pub const FLOW_RESET_PERIOD: Duration = Duration::from_secs(60);
 
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -2,12 +2,16 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollyhead::broadcast_queue::{BroadcastQueue, MAX_BROADCASTS, UPDATE_BYTES};
-use hollyhead::gossip::GossipMessage;
+use hollyhead::byte_budget::{ByteBudget, SharedByteBudget};
+use hollyhead::gossip::{Gossip, GossipBody, GossipMessage};
+use hollyhead::random::SeededRandom;
 use hollyhead::view::{Member, MemberState};
 use testutils::gossip_fleet::{name, record, GossipFleet, DATA_CENTRE};
+use tokio::time::Instant;
 
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 const DETECTION_TIMEOUT: Duration = Duration::from_secs(3);
@@ -214,3 +218,29 @@
     member.incarnation = 100;
     assert!(postcard::to_stdvec(&member).unwrap().len() <= member.wire_bytes());
 }
+
+/// Returns the replies of an instance to a member that pings it and pulls its member list.
+fn replies_to_member(gossip: &mut Gossip, now: Instant) -> Vec<GossipBody> {
+    let bodies = [GossipBody::Ping { seq: 1 }, GossipBody::Pull { after: name(0) }];
+    let message = |body| GossipMessage { from: record(1, 1), body, updates: Vec::new() };
+    let replies = bodies.into_iter().flat_map(|body| gossip.handle(now, message(body)));
+    replies.map(|(_, reply)| reply.body).collect()
+}
+
+#[test]
+fn handle_start_limit_without_budget_answers_probes_only() {
+    const PERIOD: Duration = Duration::from_secs(12);
+    let now = Instant::now();
+    let budget = SharedByteBudget::new(ByteBudget::new(0, 100));
+    let mut gossip = Gossip::new(record(0, 1), Arc::new(SeededRandom::new(3)))
+        .with_start_limit(budget.clone(), PERIOD);
+    gossip.tick(now);
+    let has_part = |replies: &[GossipBody]| {
+        replies.iter().any(|reply| matches!(reply, GossipBody::Part { .. }))
+    };
+
+    assert!(has_part(&replies_to_member(&mut gossip, now)));
+    budget.spend(100);
+    assert_eq!(replies_to_member(&mut gossip, now), [GossipBody::Ack { seq: 1 }]);
+    assert!(has_part(&replies_to_member(&mut gossip, now + PERIOD)));
+}
