packet_hold: packets that arrive before the directory wait for it

The network fabric sends it packets from its first millisecond on.

This is the same at a restart of one instance, an addition and an outage of all. Metrics: held, hold_full.

--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -28,6 +28,7 @@
 use crate::logging;
 use crate::metrics::{Metrics, PartLabel};
 use crate::network::Network;
+use crate::packet_hold::PacketHold;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
 use crate::random::Random;
@@ -94,6 +95,8 @@
     pub(crate) gossip: Mutex<Gossip>,
     pub(crate) directory_state: Mutex<DirectoryState>,
     pub(crate) forwarder: Mutex<CookieForwarder>,
+    /// Packets of callers that arrived before the directory was complete; `None` from then on.
+    held_packets: Mutex<Option<PacketHold>>,
     /// Latest era of the store that this instance has learnt of.
     pub(crate) latest_era: Mutex<Option<Era>>,
     /// End of the first start of the whole deployment; `None` if only this instance started.
@@ -157,6 +160,7 @@
             gossip: Mutex::new(gossip),
             directory_state: Mutex::new(directory_state),
             forwarder: Mutex::new(CookieForwarder::new(setup.forwarder)),
+            held_packets: Mutex::new(Some(PacketHold::default())),
             latest_era: Mutex::new(None),
             first_start_until: setup.is_first_start.then(|| now + FIRST_START_TIME),
             is_seed,
@@ -250,11 +254,42 @@
             }
         };
         *self.last_packet.lock() = now;
+        let is_held = self.held_packets.lock().as_mut().map(|hold| hold.push(&segment, buf, now));
+        match is_held {
+            None => self.forward(now, &segment, buf, out),
+            Some(true) => Metrics::count(&self.metrics.packets, "held"),
+            Some(false) => Metrics::count(&self.metrics.packets, "hold_full"),
+        }
+    }
+
+    /// Decides on the held packets once the directory is complete, and on those that were held for
+    /// too long.
+    pub(crate) fn release_held_packets(&self, now: Instant) {
+        let datagrams = {
+            let mut held_packets = self.held_packets.lock();
+            let Some(hold) = held_packets.as_mut() else { return };
+            if self.has_directory() {
+                held_packets.take().map_or_else(Vec::new, |mut hold| hold.take_all())
+            } else {
+                hold.take_expired(now)
+            }
+        };
+        let mut out = Vec::new();
+        for datagram in &datagrams {
+            // Only datagrams that could be decoded are held.
+            if let Ok(segment) = self.format.decode(datagram) {
+                self.forward(now, &segment, datagram, &mut out);
+            }
+        }
+    }
+
+    /// Decides on a packet of a caller and carries the decision out.
+    fn forward(&self, now: Instant, segment: &Segment, buf: &[u8], out: &mut Vec<u8>) {
         let (verdict, timings) = {
             let mut forwarder = self.forwarder.lock();
-            let verdict = forwarder.on_segment(&segment, now);
+            let verdict = forwarder.on_segment(segment, now);
             if let Some(decision) = verdict.decision() {
-                self.log.log_decision(decision, &segment, &forwarder, now);
+                self.log.log_decision(decision, segment, &forwarder, now);
             }
             (verdict, forwarder.take_timings())
         };
@@ -272,7 +307,7 @@
                 Metrics::count(&self.metrics.packets, outcome);
             }
             CookieVerdict::Reset(reason) => {
-                self.send_reset(&segment, out);
+                self.send_reset(segment, out);
                 Metrics::count(&self.metrics.packets, reason.label());
             }
             CookieVerdict::Drop(reason) => {
@@ -339,6 +374,7 @@
         self.send_heartbeat(now);
         self.send_repair_requests(now);
         self.link.send_queued(now);
+        self.release_held_packets(now);
         if self.has_directory() {
             self.ask_for_reader(now);
         } else {
--- a/lib/src/directory_state.rs
+++ b/lib/src/directory_state.rs
@@ -133,6 +133,7 @@
             }
         };
         self.send_changes(messages, now);
+        self.release_held_packets(now);
     }
 
     /// Broadcasts a complete part to all other instances.
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -83,6 +83,7 @@
             Ok(Frame::Control(Message::Gossip(message))) => self.on_gossip(now, message),
             Ok(Frame::Control(Message::Directory(message))) => {
                 self.on_directory(now, &origin.sender, from, message);
+                self.release_held_packets(now);
             }
             Ok(Frame::Control(Message::EpochNotice(notice))) if notice.instance == self.id => {
                 self.link.raise_epoch(notice.known + 1);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod owner;
 pub mod paced_sender;
 pub mod packet;
+pub mod packet_hold;
 pub mod path_failure;
 #[allow(missing_docs, unused_parens, unused_qualifications)]
 #[allow(clippy::all, clippy::pedantic, clippy::restriction)]
--- a/testutils/src/cookie_fleet.rs
+++ b/testutils/src/cookie_fleet.rs
@@ -19,7 +19,8 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::bandwidth_limited_network::{BandwidthLimitedNetwork, LinkLimits};
+use crate::bandwidth_limited_network::{Arrived, BandwidthLimitedNetwork, LinkLimits};
+use crate::json_segment::JsonFormat;
 use crate::memory_platform::MemoryPlatform;
 
 const PEER_PORT: u16 = 7_720;
@@ -88,6 +89,8 @@
     network: Arc<BandwidthLimitedNetwork>,
     platform: Arc<MemoryPlatform>,
     next_tick: Instant,
+    /// Packets to targets and callers.
+    outbox: Vec<Arrived>,
     _readers: JoinSet<()>,
 }
 
@@ -106,13 +109,40 @@
         link: LinkLimits,
         platform: Arc<MemoryPlatform>,
         client: impl Fn(usize) -> Arc<dyn Platform>,
+    ) -> Self {
+        Self::start_setups(count, link, platform, client, |setup| setup)
+    }
+
+    /// Starts `count` instances again, all at once, after an outage of all: callers are there and
+    /// the store has its contents. The packets of flows are in [`JsonFormat`].
+    pub fn restart(count: usize, link: LinkLimits, platform: Arc<MemoryPlatform>) -> Self {
+        let client = Arc::clone(&platform);
+        Self::start_setups(
+            count,
+            link,
+            platform,
+            |_| Arc::clone(&client) as Arc<dyn Platform>,
+            |setup| CookieInstanceSetup {
+                is_first_start: false,
+                format: Arc::new(JsonFormat),
+                ..setup
+            },
+        )
+    }
+
+    fn start_setups(
+        count: usize,
+        link: LinkLimits,
+        platform: Arc<MemoryPlatform>,
+        client: impl Fn(usize) -> Arc<dyn Platform>,
+        adapt: impl Fn(CookieInstanceSetup) -> CookieInstanceSetup,
     ) -> Self {
         let network = BandwidthLimitedNetwork::new(link);
         let mbps = link.bytes_per_second as f64 * BITS_PER_BYTE / 1e6;
         let now = Instant::now();
         let mut readers = JoinSet::new();
         let instances = (0..count).map(|index| {
-            let setup = instance_setup(index, mbps, |address| network.port(address));
+            let setup = adapt(instance_setup(index, mbps, |address| network.port(address)));
             let peer = setup.peer;
             let instance = Arc::new(CookieInstance::new(setup, now));
             readers.spawn(directory_reader::run(Arc::clone(&instance), client(index)));
@@ -120,7 +150,8 @@
             (peer, instance)
         });
         let instances = instances.collect();
-        Self { instances, network, platform, next_tick: now, _readers: readers }
+        let outbox = Vec::new();
+        Self { instances, network, platform, next_tick: now, outbox, _readers: readers }
     }
 
     /// Returns the store in memory that all instances follow.
@@ -146,6 +177,17 @@
         self.instances().filter(has_version).count()
     }
 
+    /// Passes a packet of a caller to an instance.
+    pub fn inject(&self, index: usize, datagram: &[u8]) {
+        let (_, instance) = &self.instances[index];
+        instance.on_flow_datagram(Instant::now(), datagram, &mut Vec::new());
+    }
+
+    /// Removes and returns the packets to targets and callers that have arrived.
+    pub fn take_outbox(&mut self) -> Vec<Arrived> {
+        std::mem::take(&mut self.outbox)
+    }
+
     /// Advances the clock by `time`, delivers the messages that arrive meanwhile and runs the ticks that
     /// are due.
     pub async fn run_for(&mut self, time: Duration) {
@@ -155,8 +197,9 @@
             let now = Instant::now();
             for (from, to, buf) in self.network.take_arrived(now) {
                 let receiver = self.instances.iter().find(|(peer, _)| *peer == to);
-                if let Some((_, instance)) = receiver {
-                    instance.on_peer_datagram(now, from, &buf);
+                match receiver {
+                    Some((_, instance)) => instance.on_peer_datagram(now, from, &buf),
+                    None => self.outbox.push((from, to, buf)),
                 }
             }
             if now >= self.next_tick {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gossip_fleet;
 pub mod grant_harness;
 pub mod instance_settings;
+pub mod json_segment;
 pub mod key_fixture;
 pub mod local_deployment;
 pub mod memory_platform;
