flow_tracker: segments of an upload that overtake each other are no retransmissions

Cause: the new customer's clerks upload 40 KB in bursts of 16 segments, which arrive within 2 ms in any order.

Change: older data counts as retransmitted only 100 ms or more after the caller's last new data. Callers retransmit after 200 ms.

Tests: on_segment_reordered_upload_is_no_failure replays the bursts and failed first; on_segment_retransmission_has_the_target_checked keeps the other side. Two tests sent a "retransmission" in the same millisecond as the data; they now wait for the caller's timeout, which checks as much.

--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -16,6 +16,10 @@
 pub const MAX_TRACKED_FLOWS: usize = 100_000;
 /// Time after which a request without progress no longer counts as running.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a caller's last new data within which older data counts as reordered, not as
+/// retransmitted. The segments of an upload leave in bursts and overtake each other by milliseconds,
+/// and callers retransmit after 200 ms.
+pub const REORDERING_WINDOW: Duration = Duration::from_millis(100);
 /// Time without packets after which a flow is no longer tracked.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -37,6 +41,8 @@
     target: usize,
     last_seen: Instant,
     next_seq: u32,
+    /// Time at which the caller last sent new data.
+    last_new_data_at: Instant,
     last_ack: u32,
     running_since: Option<Instant>,
 }
@@ -115,13 +121,15 @@
                 target,
                 last_seen: now,
                 next_seq: segment.seq,
+                last_new_data_at: now,
                 last_ack: segment.ack,
                 running_since: None,
             }),
         };
         flow.last_seen = now;
         let has_data = segment.data_len > 0;
-        seen.is_retransmission = has_data && is_before(segment.seq, flow.next_seq);
+        let is_old_data = has_data && is_before(segment.seq, flow.next_seq);
+        seen.is_retransmission = is_old_data && now >= flow.last_new_data_at + REORDERING_WINDOW;
         if is_before(flow.last_ack, segment.ack) {
             seen.is_progress = true;
             flow.last_ack = segment.ack;
@@ -130,7 +138,8 @@
                 decrement(&mut self.running, flow.target);
             }
         }
-        if has_data && !seen.is_retransmission {
+        if has_data && !is_old_data {
+            flow.last_new_data_at = now;
             flow.next_seq = segment.seq.wrapping_add(u32::from(segment.data_len));
             if flow.running_since.replace(now).is_none() {
                 *self.running.entry(flow.target).or_default() += 1;
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -31,6 +31,8 @@
 const ROSTERS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 8443);
 const OUTAGE_BOUND: Duration = Duration::from_secs(5);
 const COLD_SLACK: u32 = 5;
+/// Time after which a caller first retransmits unacknowledged data.
+const RETRANSMISSION_TIMEOUT: Duration = Duration::from_millis(200);
 
 fn member(name: &str, data_centre: &str) -> Member {
     let peer = SocketAddr::from(([10, 0, 0, 1], 7_000));
@@ -277,6 +279,32 @@
     assert!((0..8).any(|_| fixture.open_answered(MOVES).1 == target));
 }
 
+/// Replays the packets of an upload, which leave the caller in bursts and arrive out of order.
+#[tokio::test(start_paused = true)]
+async fn on_segment_reordered_upload_is_no_failure() {
+    const BURST_SEGMENTS: u32 = 16;
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, _, cookie) = fixture.open_answered(MOVES);
+    for burst in 1..=3 {
+        for position in 0..BURST_SEGMENTS {
+            let shuffled = position * 7 % BURST_SEGMENTS;
+            let seq = 101 + 100 * (burst * BURST_SEGMENTS + shuffled);
+            fixture.data(ends, seq, 500, cookie);
+        }
+        tokio::time::advance(Duration::from_millis(8)).await;
+        assert_eq!(fixture.forwarder.tick(Instant::now()), []);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn on_segment_retransmission_has_the_target_checked() {
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, _, cookie) = fixture.open_answered(MOVES);
+    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
+    fixture.data(ends, 101, 500, cookie);
+    assert_eq!(fixture.forwarder.tick(Instant::now()).len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn on_segment_healthy_but_silent_target_is_not_believed() {
     let mut fixture = Fixture::with_six_targets();
@@ -301,6 +329,7 @@
     let mut fixture = Fixture::with_six_targets();
     let (ends, target, cookie) = fixture.open_answered(FEEDS);
     let name = format!("i-{target:04x}");
+    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
     fixture.data(ends, 101, 500, cookie);
     fixture.take_target_down().await;
     assert!(matches!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Forward { .. }));
@@ -314,6 +343,7 @@
     let mut fixture = Fixture::with_six_targets();
     let (ends, target, cookie) = fixture.open_answered(MOVES);
     let name = format!("i-{target:04x}");
+    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
     fixture.data(ends, 101, 500, cookie);
     fixture.take_target_down().await;
     fixture.forwarder.on_condition(&member("y", "a"), &name, TargetCondition::Down, Instant::now());
