cookie_forwarder: other data centres confirm what a lone instance found

Cause: a flow of a target that is down is reset, so that its caller repeats the request elsewhere, only if a second instance reports the target down. An instance trusts its own data centre and the target's.

Change: an instance reports what it found to the target's data centre too, and an instance takes any report as a confirmation of what it found itself about a target of its own data centre. It takes no other decision from such a report: two data centres may both be cut off from a third.

Tests: two of the forwarder (one failed first, one guards the limit), one of three instances in three data centres, which failed without the wider report.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -328,6 +328,8 @@
     ///
     /// Only two kinds of instances are trusted: those in this instance's data centre, which use the
     /// same network paths, and those in the target's data centre, which are closest to the target.
+    /// Any other instance can confirm what this one found about a target of its own data centre,
+    /// where it may be the only instance.
     pub fn on_condition(
         &mut self,
         from: &Member,
@@ -339,10 +341,15 @@
         let is_verifier = self.is_verifier(from, target);
         let is_own_data_centre = from.data_centre == self.setup.data_centre;
         let target_data_centre = &self.targets.get(index).registration.data_centre;
-        if !is_own_data_centre && from.data_centre != *target_data_centre {
+        let is_local_target = *target_data_centre == self.setup.data_centre;
+        let is_trusted = is_own_data_centre || from.data_centre == *target_data_centre;
+        let health = self.targets.health_mut(index);
+        if !is_trusted {
+            if is_local_target && condition == TargetCondition::Down {
+                health.confirm_own_finding(now);
+            }
             return;
         }
-        let health = self.targets.health_mut(index);
         let finding = match condition {
             TargetCondition::Down => health.on_down_report(now),
             TargetCondition::Up => health.on_up_report(),
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -236,13 +236,17 @@
     }
 
     /// Reports changed conditions of targets to the instances that accept the reports: those in
-    /// this data centre, and all instances if the target is in this data centre too.
+    /// this data centre and in the target's, and all instances if these are the same.
     pub(crate) fn announce_condition_changes(&self) {
         let changes = self.forwarder.lock().take_condition_changes();
         let view = self.view();
         for change in changes {
             let is_local = change.data_centre == self.data_centre;
-            let accepts_report = |it: &&Member| is_local || it.data_centre == self.data_centre;
+            let accepts_report = |it: &&Member| {
+                is_local
+                    || it.data_centre == self.data_centre
+                    || it.data_centre == change.data_centre
+            };
             let others = view.members().iter().filter(|it| it.id != self.id);
             let to = others.filter(accepts_report).map(|member| member.peer);
             let (target, condition) = (change.target, change.condition);
--- a/lib/src/target_health.rs
+++ b/lib/src/target_health.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Records that another instance found the target down too. Changes nothing unless a health
+    /// check of this instance failed.
+    pub fn confirm_own_finding(&mut self, now: Instant) {
+        if self.condition == (Condition::Down { hearsay_until: None }) {
+            self.reported_at = Some(now);
+        }
+    }
+
     /// Applies another instance's report that the target answers.
     pub fn on_up_report(&mut self) -> HealthTransition {
         self.observed_failures = 0;
--- a/lib/tests/test_cookie_fleet.rs
+++ b/lib/tests/test_cookie_fleet.rs
@@ -4,14 +4,19 @@
 #![allow(clippy::unwrap_used)]
 
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollyhead::cookie_instance::CookieInstance;
+use hollyhead::health_check::CheckOutcome;
 use hollyhead::route::{
     FlowLimits, Part, Registration, RegistrationState, Route, Routing, ServiceShare,
 };
+use hollyhead::target_health::CONFIRM_DOWN_CHECKS;
 use testutils::bandwidth_limited_network::LinkLimits;
 use testutils::cookie_fleet::CookieFleet;
+use testutils::memory_platform::MemoryPlatform;
+use tokio::time::Instant;
 
 /// Link of the smallest instances: 10 Mbit/s, with a queue that holds 0.1 s of traffic.
 const SMALL_LINK: LinkLimits = LinkLimits { bytes_per_second: 1_250_000, queue_bytes: 125_000 };
@@ -124,3 +129,32 @@
     assert_eq!((complete, fleet.count_with_routing(1)), (MANY_INSTANCES, MANY_INSTANCES));
     assert!(calls <= MAX_START_CALLS, "{calls}");
 }
+
+/// Guards against callers that wait for a dead target until their deadline where a data centre has
+/// one instance, which no neighbour can confirm: instances of other data centres do.
+#[tokio::test(start_paused = true)]
+async fn condition_of_dead_target_is_confirmed_across_data_centres() {
+    const INSTANCES: usize = 3;
+    const EXCHANGE_TIME: Duration = Duration::from_millis(50);
+    let platform = Arc::new(MemoryPlatform::default());
+    platform.force_put(Part::Routing.kind(), "main", routing(1, ROUTES));
+    platform.force_put(Part::Targets.kind(), "target-0", registration(0));
+    let mut fleet = CookieFleet::restart(INSTANCES, SMALL_LINK, platform);
+    fleet.run_for(Duration::from_secs(3)).await;
+
+    for index in 0..INSTANCES {
+        for _ in 0..CONFIRM_DOWN_CHECKS {
+            let instance = fleet.instances().nth(index).unwrap();
+            instance.on_check("target-0", CheckOutcome::Silent, Instant::now());
+        }
+        fleet.run_for(EXCHANGE_TIME).await;
+    }
+    let is_confirmed = |it: &CookieInstance| {
+        it.with_forwarder(|forwarder| {
+            let targets = forwarder.targets();
+            let index = targets.index("target-0").unwrap();
+            targets.get(index).health().is_confirmed_down()
+        })
+    };
+    assert!(is_confirmed(fleet.instances().next().unwrap()));
+}
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -196,6 +196,14 @@
         targets
     }
 
+    /// Retransmits the data of an answered flow and fails the health checks of its target, after
+    /// which the target is down.
+    async fn take_target_down_by_retransmission(&mut self, ends: FlowEnds, cookie: Cookie) {
+        tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
+        self.data(ends, 101, 500, cookie);
+        self.take_target_down().await;
+    }
+
     /// Fails the health checks of a target with an unanswered opening twice, after which the target
     /// is down.
     async fn take_target_down(&mut self) {
@@ -329,23 +337,45 @@
     let mut fixture = Fixture::with_six_targets();
     let (ends, target, cookie) = fixture.open_answered(FEEDS);
     let name = format!("i-{target:04x}");
-    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
-    fixture.data(ends, 101, 500, cookie);
-    fixture.take_target_down().await;
+    fixture.take_target_down_by_retransmission(ends, cookie).await;
     assert!(matches!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Forward { .. }));
     let neighbour = member("y", "a");
     fixture.forwarder.on_condition(&neighbour, &name, TargetCondition::Down, Instant::now());
     assert_eq!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Reset(ResetReason::TargetDown));
 }
 
+/// Guards against callers that wait until their deadline because the only instance of their data
+/// centre has no neighbour that could confirm what it found.
+#[tokio::test(start_paused = true)]
+async fn on_segment_flow_of_a_dead_target_is_reset_when_a_third_data_centre_confirms() {
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, target, cookie) = fixture.open_answered(FEEDS);
+    let name = format!("i-{target:04x}");
+    fixture.take_target_down_by_retransmission(ends, cookie).await;
+    let stranger = member("z", "c");
+    fixture.forwarder.on_condition(&stranger, &name, TargetCondition::Down, Instant::now());
+    assert_eq!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Reset(ResetReason::TargetDown));
+}
+
+/// Instances of two data centres that are both cut off from a third one confirm nothing about its
+/// targets.
+#[tokio::test(start_paused = true)]
+async fn on_segment_flow_to_another_data_centre_is_kept_when_a_third_one_confirms() {
+    let mut fixture = Fixture::new("x", &Arc::new(View::new(vec![member("x", "a")])));
+    fixture.register(registration(1, "quaydesk", "b"));
+    let (ends, _, cookie) = fixture.open_answered(FEEDS);
+    fixture.take_target_down_by_retransmission(ends, cookie).await;
+    let stranger = member("z", "c");
+    fixture.forwarder.on_condition(&stranger, "i-0001", TargetCondition::Down, Instant::now());
+    assert!(matches!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Forward { .. }));
+}
+
 #[tokio::test(start_paused = true)]
 async fn on_segment_flow_that_may_not_be_repeated_is_not_reset() {
     let mut fixture = Fixture::with_six_targets();
     let (ends, target, cookie) = fixture.open_answered(MOVES);
     let name = format!("i-{target:04x}");
-    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
-    fixture.data(ends, 101, 500, cookie);
-    fixture.take_target_down().await;
+    fixture.take_target_down_by_retransmission(ends, cookie).await;
     fixture.forwarder.on_condition(&member("y", "a"), &name, TargetCondition::Down, Instant::now());
     assert!(matches!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Forward { .. }));
 }
