target_table: a target whose address was reassigned has ended; dead targets without registration are checked

At 26 s another service's target had the address and passed the check, so the dead target counted as up again, was reported so, and was sent new and open flows until its registration expired. (2) From then on it was not checked any more, so that callers of its open flows waited for their deadlines: 36 requests failed between 26 and 33 s.

Change: a target whose address belongs to a target that started later has ended. It gets no new flows and no checks, and packets of its flows are answered by a reset, whatever may be repeated, since no request of them can be answered any more. A target that gets no new flows for another reason is checked after a failure as well, up to four times, so that its being down is confirmed as for all others.

Tests: five of the forwarder, written with the change. Two were seen to fail with the resets and the checks switched off; the others were not seen red.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -39,6 +39,10 @@
 /// Part of the outage bound that is reserved for the outage record to reach this instance and for
 /// forwarded packets to reach their targets.
 pub const OUTAGE_MARGIN: Duration = Duration::from_millis(600);
+/// Number of consecutive failed health checks after which a target that gets no new flows is no
+/// longer checked. Its open flows need the confirmation that it is down, and nothing waits for its
+/// recovery.
+pub const MAX_CHECKS_WITHOUT_NEW_FLOWS: u32 = 4;
 /// Cold time of a service that the routing does not list.
 const DEFAULT_COLD_TIME: Duration = Duration::from_secs(2);
 
@@ -82,6 +86,9 @@
     /// The flow's target is confirmed down, and the route's requests are idempotent, so that the
     /// caller can repeat them at another target.
     TargetDown,
+    /// The flow's target has ended, since its address belongs to a target that started later. No
+    /// request of the flow can be answered any more.
+    TargetEnded,
 }
 
 impl ResetReason {
@@ -92,6 +99,7 @@
             ResetReason::RouteRemoved => "route_removed",
             ResetReason::NoTarget => "no_target",
             ResetReason::TargetDown => "target_down",
+            ResetReason::TargetEnded => "target_ended",
         }
     }
 }
@@ -282,10 +290,13 @@
         self.watch.expire(now, OPENING_RETENTION);
         let mut checks = Vec::new();
         for index in self.targets.unsettled() {
-            let accepts_new_flows = self.targets.get(index).accepts_new_flows();
+            let entry = self.targets.get(index);
+            let is_checked = entry.accepts_new_flows()
+                || entry.is_reachable()
+                    && entry.health().failed_checks() < MAX_CHECKS_WITHOUT_NEW_FLOWS;
             let health = self.targets.health_mut(index);
             health.expire_report(now);
-            if !accepts_new_flows || !health.start_due_check(now) {
+            if !is_checked || !health.start_due_check(now) {
                 continue;
             }
             let entry = self.targets.get(index);
@@ -500,6 +511,10 @@
         if !target.carries_open(now, outage_grace) {
             return CookieVerdict::Drop(DropReason::Outage);
         }
+        if target.has_ended {
+            self.watch.close(&segment.ends);
+            return CookieVerdict::Reset(ResetReason::TargetEnded);
+        }
         if segment.data_len > 0 && entry.route.is_idempotent && target.health().is_confirmed_down()
         {
             self.watch.close(&segment.ends);
--- a/lib/src/target_health.rs
+++ b/lib/src/target_health.rs
@@ -118,6 +118,11 @@
         self.is_down() && self.failed_checks >= CONFIRM_DOWN_CHECKS && is_reported
     }
 
+    /// Returns the number of health checks that have failed since the last one that passed.
+    pub fn failed_checks(&self) -> u32 {
+        self.failed_checks
+    }
+
     /// Schedules an immediate health check if the target is down only by another instance's report.
     pub fn verify_report(&mut self, now: Instant) {
         if matches!(self.condition, Condition::Down { hearsay_until: Some(_) }) {
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -38,6 +38,9 @@
     pub turn: u64,
     /// Position of the target within a turn.
     pub position: u64,
+    /// Whether the target's address belongs to a target that started later, which shows that this
+    /// one has ended.
+    pub has_ended: bool,
     /// Whether another target already had the cookie when this one was inserted.
     has_cookie_collision: bool,
 }
@@ -56,9 +59,13 @@
     /// Returns whether the target may get new flows, regardless of its health and of whether it is
     /// cold.
     pub fn accepts_new_flows(&self) -> bool {
-        self.registration.state == RegistrationState::Ready
-            && self.out_of_service_since.is_none()
-            && !self.has_cookie_collision
+        self.registration.state == RegistrationState::Ready && self.is_reachable()
+    }
+
+    /// Returns whether packets may be sent to the target, whatever the state of its registration:
+    /// its data centre is in service, it has not ended, and its cookie is its own.
+    pub fn is_reachable(&self) -> bool {
+        self.out_of_service_since.is_none() && !self.has_ended && !self.has_cookie_collision
     }
 
     /// Returns whether packets of open flows may still be sent to the target: while its data centre
@@ -130,6 +137,8 @@
     by_id: HashMap<TargetId, usize>,
     by_cookie: HashMap<Cookie, usize>,
     by_service: HashMap<ServiceId, Vec<usize>>,
+    /// Target that started last at each address.
+    by_address: HashMap<SocketAddr, usize>,
     turns: HashMap<ServiceId, PlacementTurns>,
     /// Targets whose health may change with time.
     unsettled: BTreeSet<usize>,
@@ -145,6 +154,7 @@
             by_id: HashMap::default(),
             by_cookie: HashMap::default(),
             by_service: HashMap::default(),
+            by_address: HashMap::default(),
             turns: HashMap::default(),
             unsettled: BTreeSet::new(),
         }
@@ -251,11 +261,13 @@
         }
         if change == RegistrationChange::Restarted {
             entry.health = TargetHealth::default();
+            entry.has_ended = false;
         }
         entry.registration = registration.clone();
         if !registration.cold_left.is_zero() {
             entry.cold_until = Some(now + registration.cold_left + COLD_START_MARGIN);
         }
+        self.assign_address(index);
         Some(change)
     }
 
@@ -290,9 +302,32 @@
             health: TargetHealth::default(),
             turn: 0,
             position: placement_turns::position(&self.instance, &registration.target),
+            has_ended: false,
             has_cookie_collision,
         });
         self.by_id.insert(registration.target.clone(), index);
         self.by_service.entry(registration.service.clone()).or_default().push(index);
+        self.assign_address(index);
+    }
+
+    /// Assigns the address of a target to the one that started last of this target and the one that
+    /// has the address now. The other one has ended.
+    fn assign_address(&mut self, index: usize) {
+        let address = self.entries[index].address();
+        let started = |entry: &TargetEntry| entry.registration.started;
+        let holder = self.by_address.get(&address).copied().filter(|other| {
+            let other = &self.entries[*other];
+            other.address() == address && started(other) > started(&self.entries[index])
+        });
+        let earlier = match holder {
+            Some(_) => Some(index),
+            None => self
+                .by_address
+                .insert(address, index)
+                .filter(|other| *other != index && self.entries[*other].address() == address),
+        };
+        if let Some(earlier) = earlier {
+            self.entries[earlier].has_ended = true;
+        }
     }
 }
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -10,7 +10,7 @@
 use hollyhead::cold_start_limit::ColdStartLimit;
 use hollyhead::cookie_forwarder::{
     CookieForwarder, CookieForwarderSetup, CookieVerdict, DropReason, FlowTiming, ResetReason,
-    OUTAGE_MARGIN,
+    MAX_CHECKS_WITHOUT_NEW_FLOWS, OUTAGE_MARGIN,
 };
 use hollyhead::directory::Directory;
 use hollyhead::directory_message::TargetCondition;
@@ -370,6 +370,78 @@
     assert!(matches!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Forward { .. }));
 }
 
+/// Guards against callers that wait for a target until their deadline although its address has been
+/// assigned to another target, which shows that it has ended.
+#[tokio::test(start_paused = true)]
+async fn on_segment_flow_of_a_target_whose_address_was_reassigned_is_reset() {
+    let mut fixture = Fixture::with_six_targets();
+    let (feed, target, cookie) = fixture.open_answered(FEEDS);
+    let number = u16::try_from(target).unwrap();
+    let address = registration(number, "quaydesk", "a").address;
+    fixture.register(Registration { address, started: 2, ..registration(7, "rosterbook", "a") });
+
+    let reset = CookieVerdict::Reset(ResetReason::TargetEnded);
+    assert_eq!(fixture.data(feed, 201, 600, cookie), reset);
+    let moves = fixture.ends(MOVES);
+    assert_eq!(fixture.data(moves, 201, 600, cookie), reset);
+    assert!((0..20).all(|_| fixture.open_answered(FEEDS).1 != target));
+}
+
+/// A registration that arrives late must not end the target that has its address now.
+#[tokio::test(start_paused = true)]
+async fn on_segment_earlier_target_of_an_address_gets_no_flows() {
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, target, cookie) = fixture.open_answered(FEEDS);
+    let number = u16::try_from(target).unwrap();
+    let address = registration(number, "quaydesk", "a").address;
+    fixture.register(Registration { address, started: 0, ..registration(7, "quaydesk", "a") });
+
+    assert_eq!(forwarded(fixture.data(ends, 201, 600, cookie)), (target, cookie));
+    assert!((0..20).all(|_| fixture.open_answered(FEEDS).1 != 7));
+}
+
+/// A health check goes to an address, where another target may answer by now.
+#[tokio::test(start_paused = true)]
+async fn tick_target_whose_address_was_reassigned_is_not_checked() {
+    let mut fixture = Fixture::with_six_targets();
+    let (_, target, _) = fixture.open(FEEDS);
+    let number = u16::try_from(target).unwrap();
+    let address = registration(number, "quaydesk", "a").address;
+    fixture.register(Registration { address, started: 2, ..registration(7, "rosterbook", "a") });
+    tokio::time::advance(HANDSHAKE_TIMEOUT).await;
+    assert_eq!(fixture.forwarder.tick(Instant::now()), []);
+}
+
+/// Guards against callers of a crashed target that wait until their deadline once its registration
+/// has expired, since it was no longer checked.
+#[tokio::test(start_paused = true)]
+async fn on_segment_flow_of_a_dead_target_without_registration_is_reset_when_two_say_so() {
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, target, cookie) = fixture.open_answered(FEEDS);
+    let gone = registration(u16::try_from(target).unwrap(), "quaydesk", "a");
+    let name = gone.target.clone();
+    fixture.register(Registration { state: RegistrationState::Gone, ..gone });
+    fixture.take_target_down_by_retransmission(ends, cookie).await;
+    fixture.forwarder.on_condition(&member("y", "a"), &name, TargetCondition::Down, Instant::now());
+    assert_eq!(fixture.data(ends, 101, 500, cookie), CookieVerdict::Reset(ResetReason::TargetDown));
+}
+
+#[tokio::test(start_paused = true)]
+async fn tick_dead_target_without_registration_is_checked_a_few_times_only() {
+    let mut fixture = Fixture::with_six_targets();
+    let (ends, target, cookie) = fixture.open_answered(FEEDS);
+    let gone = registration(u16::try_from(target).unwrap(), "quaydesk", "a");
+    fixture.register(Registration { state: RegistrationState::Gone, ..gone });
+    tokio::time::advance(RETRANSMISSION_TIMEOUT).await;
+    fixture.data(ends, 101, 500, cookie);
+    let mut checks = 0;
+    for _ in 0..100 {
+        checks += fixture.fail_health_checks().len();
+        tokio::time::advance(Duration::from_millis(100)).await;
+    }
+    assert_eq!(checks, MAX_CHECKS_WITHOUT_NEW_FLOWS as usize);
+}
+
 #[tokio::test(start_paused = true)]
 async fn on_segment_flow_that_may_not_be_repeated_is_not_reset() {
     let mut fixture = Fixture::with_six_targets();
