--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -25,7 +25,7 @@
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::Segment;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
-use crate::target_table::{RegistrationChange, TargetTable};
+use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
 use crate::view::{Member, View};
 
 /// Time for which an opening is remembered, which must exceed the time until the caller's last
@@ -290,10 +290,7 @@
         self.watch.expire(now, OPENING_RETENTION);
         let mut checks = Vec::new();
         for index in self.targets.unsettled() {
-            let entry = self.targets.get(index);
-            let is_checked = entry.accepts_new_flows()
-                || entry.is_reachable()
-                    && entry.health().failed_checks() < MAX_CHECKS_WITHOUT_NEW_FLOWS;
+            let is_checked = is_worth_checking(self.targets.get(index));
             let health = self.targets.health_mut(index);
             health.expire_report(now);
             if !is_checked || !health.start_due_check(now) {
@@ -578,3 +575,10 @@
         })
     }
 }
+
+/// Returns whether a due health check of a target is made. Without new flows, a few failed checks
+/// are enough.
+fn is_worth_checking(entry: &TargetEntry) -> bool {
+    let has_enough_failures = entry.health().failed_checks() >= MAX_CHECKS_WITHOUT_NEW_FLOWS;
+    entry.accepts_new_flows() || (entry.is_reachable() && !has_enough_failures)
+}
--- a/lib/src/log_chain.rs
+++ b/lib/src/log_chain.rs
@@ -145,6 +145,9 @@
         "route_removed" => reset(&format!("the route of {service} was removed")),
         "no_target" => reset(&format!("no target of {service} takes new flows")),
         "target_down" => reset(&format!("its target {target} does not answer")),
+        "target_ended" => {
+            reset(&format!("its target {target} has ended, and another target has its address"))
+        }
         "unknown_cookie" => dropped("no known target has its cookie"),
         "foreign_cookie" => dropped(&format!("its target {target} is of another service")),
         "no_cookie" => dropped("it names no target"),
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -58,6 +58,14 @@
     }
 }
 
+fn all_routes() -> Vec<Route> {
+    vec![
+        route("feeds", FEEDS, "quaydesk", true),
+        route("moves", MOVES, "quaydesk", false),
+        route("rosters", ROSTERS, "rosterbook", true),
+    ]
+}
+
 fn registration(number: u16, service: &str, data_centre: &str) -> Registration {
     Registration {
         target: format_smolstr!("i-{number:04x}"),
@@ -96,11 +104,7 @@
             ports: 1_000,
         };
         fixture.forwarder.set_view(Arc::clone(view));
-        fixture.set_routes(vec![
-            route("feeds", FEEDS, "quaydesk", true),
-            route("moves", MOVES, "quaydesk", false),
-            route("rosters", ROSTERS, "rosterbook", true),
-        ]);
+        fixture.set_routes(all_routes());
         fixture
     }
 
--- a/lib/tests/test_gossip.rs
+++ b/lib/tests/test_gossip.rs
@@ -95,7 +95,7 @@
     let mut fleet = joined_fleet(MEMBERS, 3);
     fleet.leave(5);
     fleet.run_for(Duration::from_millis(100));
-    let state = |member: &hollyhead::gossip::Gossip| member.view().get(&name(5)).unwrap().state;
+    let state = |member: &Gossip| member.view().get(&name(5)).unwrap().state;
     assert!(fleet.running().all(|member| state(member) == MemberState::Leaving));
 }
 
@@ -104,7 +104,7 @@
     let mut fleet = joined_fleet(MEMBERS, 4);
     fleet.start(2, 2_000);
     fleet.run_for(Duration::from_secs(5));
-    let epoch = |member: &hollyhead::gossip::Gossip| member.view().get(&name(2)).unwrap().epoch;
+    let epoch = |member: &Gossip| member.view().get(&name(2)).unwrap().epoch;
     assert!(fleet.running().all(|member| epoch(member) == 2_000));
 }
 
@@ -126,7 +126,7 @@
     suspicion.state = MemberState::Dead;
     let message = GossipMessage {
         from: record(1, 1_000),
-        body: hollyhead::gossip::GossipBody::Ack { seq: u64::MAX },
+        body: GossipBody::Ack { seq: u64::MAX },
         updates: vec![suspicion],
     };
     let now = fleet.now();
