flow_tracker: a half-open flow has one target

The failure that the copy records makes the last target suspected, and turns put those that were chosen before behind the others. So a half-open flow remembers only the target that last got its opening packet, without a list.

New test: on_segment_copy_goes_to_another_target_when_all_are_suspected.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -404,15 +404,11 @@
             RouteLookup::Removed | RouteLookup::Unknown => return self.reject_unknown_address(now),
         };
         let Some(service) = service else { return CookieVerdict::Reset(ResetReason::NoTarget) };
-        let tried = self.watch.half_open(&segment.ends).map(|opening| opening.tried.clone());
-        let tried = tried.unwrap_or_default();
-        if let Some(last) = tried.last() {
-            self.targets.health_mut(*last).record_failure(now);
+        // The failure makes the target suspected, so that a retransmission goes to another one.
+        if let Some(last) = self.watch.half_open(&segment.ends).map(|opening| opening.target) {
+            self.targets.health_mut(last).record_failure(now);
         }
-        let chosen = self
-            .choose_target(&service, &tried, now)
-            .or_else(|| self.choose_target(&service, &[], now));
-        match chosen {
+        match self.choose_target(&service, now) {
             Some(index) => self.forward_opening(segment, index, now),
             None => CookieVerdict::Reset(ResetReason::NoTarget),
         }
@@ -442,11 +438,10 @@
         }
     }
 
-    fn choose_target(&self, service: &str, tried: &[usize], now: Instant) -> Option<usize> {
+    fn choose_target(&self, service: &str, now: Instant) -> Option<usize> {
         let turns = self.targets.turns(service);
         let indices = self.targets.indices_by_service(service).iter().copied();
-        let allowed = indices
-            .filter(|index| !tried.contains(index) && self.may_take_new_flow(service, *index, now));
+        let allowed = indices.filter(|index| self.may_take_new_flow(service, *index, now));
         choose_target(
             &self.setup.data_centre,
             allowed.map(|index| self.candidate(index, turns, now)),
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -29,9 +29,8 @@
     ) {
         let Decision { outcome, reason } = decision;
         let Some(left_out) = self.limit.allow(reason, now) else { return };
-        let chosen = match forwarder.watch().half_open(&segment.ends).and_then(|it| it.tried.last())
-        {
-            Some(index) if segment.control.opens => Some(*index),
+        let chosen = match forwarder.watch().half_open(&segment.ends) {
+            Some(opening) if segment.control.opens => Some(opening.target),
             _ => forwarder.targets().index_by_cookie(segment.cookie),
         };
         let entry = chosen.map(|index| forwarder.targets().get(index));
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -26,8 +26,8 @@
 /// Flow whose opening packet was forwarded, but whose caller has sent no next packet yet.
 #[derive(Clone, Debug)]
 pub struct HalfOpenFlow {
-    /// Indices of the targets that got the opening packet or a retransmission of it, in that order.
-    pub tried: Vec<usize>,
+    /// Index of the target that last got the opening packet or a retransmission of it.
+    pub target: usize,
     /// Time at which the opening packet was first forwarded.
     pub first_sent_at: Instant,
     /// Time at which the opening packet was last forwarded.
@@ -79,14 +79,10 @@
 
     /// Records that an opening packet was forwarded to a target.
     pub fn record_half_open(&mut self, ends: FlowEnds, target: usize, now: Instant) {
-        let new_flow = || HalfOpenFlow {
-            tried: Vec::with_capacity(1),
-            first_sent_at: now,
-            last_sent_at: now,
-            is_timed_out: false,
-        };
+        let new_flow =
+            || HalfOpenFlow { target, first_sent_at: now, last_sent_at: now, is_timed_out: false };
         let flow = self.half_open.entry(ends).or_insert_with(new_flow);
-        flow.tried.push(target);
+        flow.target = target;
         flow.last_sent_at = now;
         flow.is_timed_out = false;
     }
@@ -156,7 +152,7 @@
         for flow in self.half_open.values_mut() {
             if !flow.is_timed_out && now >= flow.last_sent_at + timeout {
                 flow.is_timed_out = true;
-                unresponsive.extend(flow.tried.last());
+                unresponsive.push(flow.target);
             }
         }
         unresponsive
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -269,6 +269,20 @@
     assert!(first != second && second != third && first != third);
 }
 
+#[tokio::test(start_paused = true)]
+async fn on_segment_copy_goes_to_another_target_when_all_are_suspected() {
+    let mut fixture = Fixture::with_six_targets();
+    for _ in 0..6 {
+        fixture.open(MOVES);
+        tokio::time::advance(HANDSHAKE_TIMEOUT).await;
+        fixture.forwarder.tick(Instant::now());
+    }
+    let (ends, first, _) = fixture.open(MOVES);
+    tokio::time::advance(Duration::from_millis(200)).await;
+    let (second, _) = forwarded(fixture.syn(ends, 1));
+    assert_ne!(first, second);
+}
+
 #[tokio::test(start_paused = true)]
 async fn on_segment_silent_target_is_avoided_after_one_opening() {
     let mut fixture = Fixture::with_six_targets();
