--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -1,9 +1,7 @@
 //! Token bucket that limits the bytes of control messages.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::Mutex;
 use tokio::time::Instant;
 
 /// Token bucket whose tokens are bytes. A message may overdraw it; no bytes are available until the
@@ -66,30 +64,6 @@
     }
 }
 
-/// Budget that several senders of one instance share, so that the total of their control messages
-/// stays within a limit. Clones share the same budget.
-#[derive(Clone, Debug)]
-pub struct SharedByteBudget(Arc<Mutex<ByteBudget>>);
-
-impl SharedByteBudget {
-    /// Shares a budget.
-    pub fn new(budget: ByteBudget) -> Self {
-        Self(Arc::new(Mutex::new(budget)))
-    }
-
-    /// Refills the bucket and returns the bytes that may be sent; 0 while there is a debt.
-    pub fn available(&self, now: Instant) -> u64 {
-        let mut budget = self.0.lock();
-        budget.refill(now);
-        budget.available()
-    }
-
-    /// Removes the bytes of a message that was sent, into debt if necessary.
-    pub fn spend(&self, bytes: u64) {
-        self.0.lock().spend(bytes);
-    }
-}
-
 fn to_signed(bytes: u64) -> i64 {
     i64::try_from(bytes).unwrap_or(i64::MAX)
 }
--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::broadcast_queue::BroadcastQueue;
-use crate::byte_budget::{ByteBudget, SharedByteBudget};
+use crate::byte_budget::ByteBudget;
 pub use crate::gossip_message::{GossipBody, GossipMessage, Outgoing};
 use crate::ids::{Epoch, InstanceId};
 use crate::platform::ListedInstance;
@@ -69,17 +69,6 @@
     seq: u64,
 }
 
-/// Limit on optional membership messages of an instance that has just started.
-///
-/// Instances that start together exchange member lists, configuration, base tables and frequent
-/// grant requests in the same seconds.
-#[derive(Debug)]
-struct StartLimit {
-    /// Budget of all control messages of the instance, which spends it as it sends.
-    budget: SharedByteBudget,
-    period: Duration,
-}
-
 /// Membership state of one instance.
 ///
 /// It does no I/O: [`Gossip::tick`] and [`Gossip::handle`] return the messages to send.
@@ -91,7 +80,6 @@
     prober: Prober,
     budget: ByteBudget,
     part_budget: ByteBudget,
-    start_limit: Option<StartLimit>,
     seeds: BTreeMap<InstanceId, SocketAddr>,
     forwarded: BTreeMap<u64, Forwarded>,
     sync_cursor: InstanceId,
@@ -124,7 +112,6 @@
             broadcasts: BroadcastQueue::default(),
             budget: ByteBudget::new(BYTES_PER_SECOND, BURST_BYTES).with_max_debt(BURST_BYTES),
             part_budget: ByteBudget::new(PART_BYTES_PER_SECOND, PART_BURST_BYTES),
-            start_limit: None,
             seeds: BTreeMap::new(),
             forwarded: BTreeMap::new(),
             sync_cursor: InstanceId::default(),
@@ -144,15 +131,6 @@
         }
     }
 
-    /// Limits updates, pulls, requests for indirect probes and parts for `period` after the first
-    /// tick. They are then sent only while `budget`, which all control messages of the instance
-    /// spend, has bytes available.
-    #[must_use]
-    pub fn with_start_limit(mut self, budget: SharedByteBudget, period: Duration) -> Self {
-        self.start_limit = Some(StartLimit { budget, period });
-        self
-    }
-
     /// Returns the current view, an immutable snapshot.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view)
@@ -401,7 +379,7 @@
     fn send_indirect_probes(&mut self, now: Instant) {
         let Some(Probe { seq, target, .. }) = self.prober.take_indirect(now) else { return };
         for peer in self.random_peers(PEER_FAN_OUT, &target) {
-            if self.may_send_optional(now) {
+            if self.budget.has_available_bytes(now) {
                 let body = GossipBody::PingRequest { seq, target: target.clone() };
                 self.send(now, peer, body, None);
             }
@@ -452,14 +430,14 @@
             peers.truncate(PEER_FAN_OUT);
         }
         for peer in peers {
-            if self.may_send_optional(now) {
+            if self.budget.has_available_bytes(now) {
                 self.send(now, peer, GossipBody::Pull { after: self.sync_cursor.clone() }, None);
             }
         }
     }
 
     fn send_part(&mut self, now: Instant, to: SocketAddr, after: &str) {
-        if !self.part_budget.has_available_bytes(now) || self.is_start_limited(now) {
+        if !self.part_budget.has_available_bytes(now) {
             return;
         }
         let mut room = PART_BYTES;
@@ -535,24 +513,13 @@
     /// allows.
     fn send(&mut self, now: Instant, to: SocketAddr, body: GossipBody, record: Option<Member>) {
         let mut updates: Vec<_> = record.into_iter().collect();
-        if self.may_send_optional(now) {
+        if self.budget.has_available_bytes(now) {
             let broadcasts = self.broadcasts.take(self.view.members().len());
             updates.extend(broadcasts);
         }
         self.send_records(now, to, body, updates);
     }
 
-    /// Returns whether the budgets allow a message or an update that is not required.
-    fn may_send_optional(&mut self, now: Instant) -> bool {
-        self.budget.has_available_bytes(now) && !self.is_start_limited(now)
-    }
-
-    fn is_start_limited(&self, now: Instant) -> bool {
-        let Some(limit) = &self.start_limit else { return false };
-        let is_starting = self.started_at.is_none_or(|at| now < at + limit.period);
-        is_starting && limit.budget.available(now) == 0
-    }
-
     fn send_records(
         &mut self,
         now: Instant,
--- a/lib/src/handover.rs
+++ b/lib/src/handover.rs
@@ -25,7 +25,7 @@
 /// Rate limit of placement overrides.
 pub const OVERRIDE_BYTES_PER_SECOND: u64 = 1_024;
 /// Burst of placement overrides that the rate limit allows after a pause.
-pub const OVERRIDE_BURST_BYTES: u64 = 1_024;
+pub const OVERRIDE_BURST_BYTES: u64 = 8_192;
 /// Rate limit of placement overrides at a leaving instance, which has only seconds to send all of
 /// them before it stops.
 pub const LEAVING_BYTES_PER_SECOND: u64 = 65_536;
--- a/lib/src/kernel.rs
+++ b/lib/src/kernel.rs
@@ -14,7 +14,6 @@
 
 use crate::audit::AuditLedger;
 use crate::audit_packets::record_packet;
-use crate::byte_budget::{ByteBudget, SharedByteBudget};
 use crate::capacity_allocator::CapacityAllocator;
 use crate::config::{Config, RecordError};
 use crate::config_gossip::{self, ConfigGossip};
@@ -24,7 +23,7 @@
 use crate::flow::FlowHasher;
 use crate::flow_messages::{Run, Step};
 use crate::gossip::{Gossip, Outgoing};
-use crate::grant::{GrantClient, INITIAL_REQUEST_PERIOD};
+use crate::grant::GrantClient;
 use crate::ids::{DataCentreId, Epoch, InstanceId, Version};
 use crate::key_claim::{KeyMessage, KeyRegistry};
 use crate::log_limit::LogLimit;
@@ -41,14 +40,6 @@
 use crate::verdict::Verdict;
 use crate::view::{Member, MemberState, View};
 
-/// Rate of all control messages above which a starting instance leaves out optional membership
-/// messages.
-const CONTROL_BYTES_PER_SECOND: u64 = 2_600;
-/// Burst of control messages before optional membership messages are left out.
-const CONTROL_BURST_BYTES: u64 = 600;
-/// Largest debt that other messages leave, which bounds the time for which membership messages are
-/// left out.
-const MAX_CONTROL_DEBT_BYTES: u64 = 2_800;
 /// Minimum time between two epoch notices.
 const EPOCH_NOTICE_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of rows in the audit ledger.
@@ -110,8 +101,6 @@
     pub(crate) allocator: Mutex<CapacityAllocator>,
     pub(crate) grants: Mutex<GrantClient>,
     configs: ConfigStore,
-    /// Budget that all control messages spend, for the start limit of gossip.
-    control_budget: SharedByteBudget,
     tick_count: AtomicUsize,
     malformed_packets: LogLimit,
     refused_datagrams: LogLimit,
@@ -133,10 +122,6 @@
         let (id, data_centre, owners) =
             (setup.id.clone(), setup.data_centre.clone(), setup.owners_per_service);
         let hasher = FlowHasher::new(setup.flow_key);
-        let control_budget = SharedByteBudget::new(
-            ByteBudget::new(CONTROL_BYTES_PER_SECOND, CONTROL_BURST_BYTES)
-                .with_max_debt(MAX_CONTROL_DEBT_BYTES),
-        );
         Self {
             metrics: Arc::new(Metrics::new()),
             steering: Steering::new(
@@ -159,10 +144,7 @@
                 owners,
                 Arc::clone(&setup.picker),
             ),
-            gossip: Mutex::new(
-                Gossip::new(me, Arc::clone(&setup.random))
-                    .with_start_limit(control_budget.clone(), INITIAL_REQUEST_PERIOD),
-            ),
+            gossip: Mutex::new(Gossip::new(me, Arc::clone(&setup.random))),
             allocator: Mutex::new(CapacityAllocator::new(id, data_centre, owners)),
             grants: Mutex::new(GrantClient::default()),
             configs: ConfigStore::new(ConfigGossip::new(
@@ -171,7 +153,6 @@
                 setup.epoch,
                 Arc::clone(&setup.random),
             )),
-            control_budget,
             tick_count: AtomicUsize::new(0),
             malformed_packets: LogLimit::default(),
             refused_datagrams: LogLimit::default(),
@@ -507,7 +488,6 @@
 
     pub(crate) fn send_message(&self, to: SocketAddr, message: Message) {
         if let Some(bytes) = self.send_frame(to, &Frame::Control(message)) {
-            self.control_budget.spend(bytes as u64);
             self.metrics.control_bytes.inc_by(bytes as u64);
         }
     }
--- a/testutils/src/cookie_fleet.rs
+++ b/testutils/src/cookie_fleet.rs
@@ -14,6 +14,7 @@
 use hollyhead::network::Network;
 use hollyhead::platform::Platform;
 use hollyhead::random::SeededRandom;
+use hollyhead::route::{Registration, RegistrationState};
 use hollyhead::segment::{Segment, SegmentError, SegmentFormat};
 use smol_str::format_smolstr;
 use tokio::task::JoinSet;
@@ -78,6 +79,21 @@
     }
 }
 
+/// Returns the registration of a target of the service `mailroom` that takes new flows.
+pub fn ready_registration(number: usize) -> Registration {
+    Registration {
+        target: format_smolstr!("target-{number}"),
+        token: number as TargetToken,
+        service: "mailroom".into(),
+        address: ([10, 64, (number >> 8) as u8, number as u8], 8_080).into(),
+        data_centre: DATA_CENTRES[0].into(),
+        state: RegistrationState::Ready,
+        slots: 2,
+        cold_left: Duration::ZERO,
+        started: 1,
+    }
+}
+
 fn ip(index: usize) -> std::net::IpAddr {
     let [.., high, low] = (index as u32 + 1).to_be_bytes();
     Ipv4Addr::new(10, 1, high, low).into()
