Read as a newcomer: holding apart from forwarding, no search for first copies, ended targets first

- cookie_instance: hold_packet says whether a packet was held, in place of an optional boolean.
- packet_hold: only a retransmitted opening packet searches the queue for its earlier copy.
A queue that is full no longer costs a pass for each new flow.
- cookie_forwarder: a flow of an ended target is reset also where its data centre is out of service; an untrusted report no longer marks its target as unsettled.
- testutils: start_adapted has its name and doc comment, json_segment says why it has one error.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -351,13 +351,13 @@
         let target_data_centre = &self.targets.get(index).registration.data_centre;
         let is_local_target = *target_data_centre == self.setup.data_centre;
         let is_trusted = is_own_data_centre || from.data_centre == *target_data_centre;
-        let health = self.targets.health_mut(index);
         if !is_trusted {
             if is_local_target && condition == TargetCondition::Down {
-                health.confirm_own_finding(now);
+                self.targets.health_mut(index).confirm_own_finding(now);
             }
             return;
         }
+        let health = self.targets.health_mut(index);
         let finding = match condition {
             TargetCondition::Down => health.on_down_report(now),
             TargetCondition::Up => health.on_up_report(),
@@ -499,14 +499,14 @@
         if !entry.accepts_service(&target.registration.service) {
             return CookieVerdict::Drop(DropReason::ForeignCookie);
         }
-        let outage_grace = self.setup.outage_bound.saturating_sub(OUTAGE_MARGIN);
-        if !target.carries_open(now, outage_grace) {
-            return CookieVerdict::Drop(DropReason::Outage);
-        }
         if target.has_ended {
             self.watch.close(&segment.ends);
             return CookieVerdict::Reset(ResetReason::TargetEnded);
         }
+        let outage_grace = self.setup.outage_bound.saturating_sub(OUTAGE_MARGIN);
+        if !target.carries_open(now, outage_grace) {
+            return CookieVerdict::Drop(DropReason::Outage);
+        }
         if segment.data_len > 0 && entry.route.is_idempotent && target.health().is_confirmed_down()
         {
             self.watch.close(&segment.ends);
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -254,14 +254,21 @@
             }
         };
         *self.last_packet.lock() = now;
-        let is_held = self.held_packets.lock().as_mut().map(|hold| hold.push(&segment, buf, now));
-        match is_held {
-            None => self.forward(now, &segment, buf, out),
-            Some(true) => Metrics::count(&self.metrics.packets, "held"),
-            Some(false) => Metrics::count(&self.metrics.packets, "hold_full"),
+        if !self.hold_packet(now, &segment, buf) {
+            self.forward(now, &segment, buf, out);
         }
     }
 
+    /// Holds a packet, or drops it if too many are held. Returns `false` and does neither once the
+    /// directory has been complete.
+    fn hold_packet(&self, now: Instant, segment: &Segment, buf: &[u8]) -> bool {
+        let mut held_packets = self.held_packets.lock();
+        let Some(hold) = held_packets.as_mut() else { return false };
+        let outcome = if hold.push(segment, buf, now) { "held" } else { "hold_full" };
+        Metrics::count(&self.metrics.packets, outcome);
+        true
+    }
+
     /// Decides on the held packets once the directory is complete, and on those that were held for
     /// too long.
     pub(crate) fn release_held_packets(&self, now: Instant) {
--- a/lib/src/packet_hold.rs
+++ b/lib/src/packet_hold.rs
@@ -42,7 +42,8 @@
     /// would open the flow at two targets.
     #[must_use]
     pub fn push(&mut self, segment: &Segment, datagram: &[u8], now: Instant) -> bool {
-        if segment.control.opens {
+        let is_retransmitted_opening = segment.control.opens && segment.ack > 0;
+        if is_retransmitted_opening {
             self.remove_opening(&segment.ends);
         }
         let has_room =
--- a/testutils/src/cookie_fleet.rs
+++ b/testutils/src/cookie_fleet.rs
@@ -126,14 +126,14 @@
         platform: Arc<MemoryPlatform>,
         client: impl Fn(usize) -> Arc<dyn Platform>,
     ) -> Self {
-        Self::start_setups(count, link, platform, client, |setup| setup)
+        Self::start_adapted(count, link, platform, client, |setup| setup)
     }
 
     /// Starts `count` instances again, all at once, after an outage of all: callers are there and
     /// the store has its contents. The packets of flows are in [`JsonFormat`].
     pub fn restart(count: usize, link: LinkLimits, platform: Arc<MemoryPlatform>) -> Self {
         let client = Arc::clone(&platform);
-        Self::start_setups(
+        Self::start_adapted(
             count,
             link,
             platform,
@@ -146,7 +146,8 @@
         )
     }
 
-    fn start_setups(
+    /// Starts `count` instances whose setups `adapt` changes.
+    fn start_adapted(
         count: usize,
         link: LinkLimits,
         platform: Arc<MemoryPlatform>,
--- a/testutils/src/json_segment.rs
+++ b/testutils/src/json_segment.rs
@@ -12,6 +12,7 @@
 
 impl SegmentFormat for JsonFormat {
     fn decode(&self, datagram: &[u8]) -> Result<Segment, SegmentError> {
+        // The errors of the trait describe binary headers; a test never sends anything else than JSON.
         serde_json::from_slice(datagram).map_err(|_| SegmentError::Short { len: datagram.len() })
     }
 
