Read as a newcomer: round_robin has its usual name; held packets keep their decoded header

placement_turns -> round_robin (rounds in place of turns). packet_hold returns the decoded segment with each packet, so that a release does not decode it again and ignore an error. No behaviour changes.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -20,7 +20,7 @@
 use crate::ids::{Cookie, DataCentreId, FlowHash, InstanceId, TargetId, TargetToken};
 use crate::log_message::CONDITION;
 use crate::placement::{choose_target, Candidate, HealthRank};
-use crate::placement_turns::PlacementTurns;
+use crate::round_robin::RoundRobin;
 use crate::route::{Part, RecordBody};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::Segment;
@@ -439,12 +439,12 @@
     }
 
     fn choose_target(&self, service: &str, now: Instant) -> Option<usize> {
-        let turns = self.targets.turns(service);
+        let rounds = self.targets.rounds(service);
         let indices = self.targets.indices_by_service(service).iter().copied();
         let allowed = indices.filter(|index| self.may_take_new_flow(service, *index, now));
         choose_target(
             &self.setup.data_centre,
-            allowed.map(|index| self.candidate(index, turns, now)),
+            allowed.map(|index| self.candidate(index, rounds, now)),
         )
     }
 
@@ -467,7 +467,7 @@
                 .is_below(self.setup.cold_start_limit.flows_per_window(capacity), now)
     }
 
-    fn candidate(&self, index: usize, turns: PlacementTurns, now: Instant) -> Candidate<'_> {
+    fn candidate(&self, index: usize, rounds: RoundRobin, now: Instant) -> Candidate<'_> {
         let entry = self.targets.get(index);
         let health = if entry.health().is_down() {
             HealthRank::Down
@@ -479,8 +479,8 @@
         let slots = entry.registration.slots.max(1);
         let load_per_mille = self.watch.running_requests(index).saturating_mul(1_000) / slots;
         let data_centre = &entry.registration.data_centre;
-        let (turn, position) = (turns.next_turn(entry.turn), entry.position);
-        Candidate { index, data_centre, health, load_per_mille, turn, position }
+        let (round, position) = (rounds.next_round(entry.round), entry.position);
+        Candidate { index, data_centre, health, load_per_mille, round, position }
     }
 
     fn forward_open(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -272,7 +272,7 @@
     /// Decides on the held packets once the directory is complete, and on those that were held for
     /// too long.
     pub(crate) fn release_held_packets(&self, now: Instant) {
-        let datagrams = {
+        let packets = {
             let mut held_packets = self.held_packets.lock();
             let Some(hold) = held_packets.as_mut() else { return };
             if self.has_directory() {
@@ -282,11 +282,8 @@
             }
         };
         let mut out = Vec::new();
-        for datagram in &datagrams {
-            // Only datagrams that could be decoded are held.
-            if let Ok(segment) = self.format.decode(datagram) {
-                self.forward(now, &segment, datagram, &mut out);
-            }
+        for packet in &packets {
+            self.forward(now, &packet.segment, &packet.datagram, &mut out);
         }
     }
 
--- a/lib/src/packet_hold.rs
+++ b/lib/src/packet_hold.rs
@@ -20,12 +20,14 @@
 /// Largest total size of the held packets, in bytes.
 pub const MAX_HELD_BYTES: usize = 512 * 1_024;
 
-#[derive(Debug)]
-struct HeldPacket {
-    ends: FlowEnds,
-    opens: bool,
+/// Packet that waits for the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPacket {
+    /// Decoded header of the packet.
+    pub segment: Segment,
+    /// Whole packet, as it arrived.
+    pub datagram: Vec<u8>,
     received_at: Instant,
-    datagram: Vec<u8>,
 }
 
 /// Packets that wait for the directory, oldest first.
@@ -50,36 +52,33 @@
             self.packets.len() < MAX_HELD_PACKETS && self.bytes + datagram.len() <= MAX_HELD_BYTES;
         if has_room {
             self.bytes += datagram.len();
-            self.packets.push_back(HeldPacket {
-                ends: segment.ends,
-                opens: segment.control.opens,
-                received_at: now,
-                datagram: datagram.to_vec(),
-            });
+            let (segment, datagram) = (*segment, datagram.to_vec());
+            self.packets.push_back(HeldPacket { segment, datagram, received_at: now });
         }
         has_room
     }
 
-    /// Removes and returns the datagrams that have been held for [`MAX_HOLD_TIME`].
-    pub fn take_expired(&mut self, now: Instant) -> Vec<Vec<u8>> {
+    /// Removes and returns the packets that have been held for [`MAX_HOLD_TIME`].
+    pub fn take_expired(&mut self, now: Instant) -> Vec<HeldPacket> {
         let is_expired = |packet: &HeldPacket| now >= packet.received_at + MAX_HOLD_TIME;
         let count = self.packets.iter().take_while(|packet| is_expired(packet)).count();
         self.take(count)
     }
 
-    /// Removes and returns all datagrams, in the order in which they arrived.
-    pub fn take_all(&mut self) -> Vec<Vec<u8>> {
+    /// Removes and returns all packets, in the order in which they arrived.
+    pub fn take_all(&mut self) -> Vec<HeldPacket> {
         self.take(self.packets.len())
     }
 
-    fn take(&mut self, count: usize) -> Vec<Vec<u8>> {
-        let datagrams: Vec<_> = self.packets.drain(..count).map(|it| it.datagram).collect();
-        self.bytes -= datagrams.iter().map(Vec::len).sum::<usize>();
-        datagrams
+    fn take(&mut self, count: usize) -> Vec<HeldPacket> {
+        let packets: Vec<_> = self.packets.drain(..count).collect();
+        self.bytes -= packets.iter().map(|packet| packet.datagram.len()).sum::<usize>();
+        packets
     }
 
     fn remove_opening(&mut self, ends: &FlowEnds) {
-        let is_copy = |packet: &HeldPacket| packet.opens && packet.ends == *ends;
+        let is_copy =
+            |packet: &HeldPacket| packet.segment.control.opens && packet.segment.ends == *ends;
         let Some(index) = self.packets.iter().position(is_copy) else { return };
         if let Some(packet) = self.packets.remove(index) {
             self.bytes -= packet.datagram.len();
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -3,7 +3,7 @@
 //! Requests queue inside the targets, so a flow goes to the target with the fewest running requests
 //! per slot. Targets in the instance's own data centre are preferred while their load is below
 //! [`SPILLOVER_LOAD_PER_MILLE`], and suspected targets get flows only when no healthy one is left.
-//! Equally loaded targets take turns.
+//! Equally loaded targets are chosen round robin.
 //! A flow without an eligible target is refused at once.
 
 use crate::ids::DataCentreId;
@@ -34,10 +34,10 @@
     pub health: HealthRank,
     /// Running requests per thousand slots of the target.
     pub load_per_mille: u32,
-    /// Turn in which the target may be chosen next; see [`crate::placement_turns`]. The lower turn
-    /// breaks ties of load.
-    pub turn: u64,
-    /// Position of the target within a turn, different at each instance.
+    /// Round in which the target is next; see [`crate::round_robin`]. The lower round breaks ties of
+    /// load.
+    pub round: u64,
+    /// Position of the target within a round, different at each instance.
     pub position: u64,
 }
 
@@ -62,7 +62,7 @@
 }
 
 fn rank(candidate: &Candidate<'_>) -> (HealthRank, u32, u64, u64) {
-    (candidate.health, candidate.load_per_mille, candidate.turn, candidate.position)
+    (candidate.health, candidate.load_per_mille, candidate.round, candidate.position)
 }
 
 /// Returns whether the best remote target is preferable to the best local one.
--- /dev/null
+++ b/lib/src/round_robin.rs
@@ -0,0 +1,37 @@
+//! Round robin over the equally loaded targets of a service.
+//!
+//! Load pattern: many instances place flows at the same time and cannot see each other's flows. After
+//! a restart of the whole fleet all of them have equal counts, and a new target has a count of zero
+//! everywhere. A rule that takes the target with the fewest flows so far, and then the first in the
+//! table, sends the next flow of every instance to the same target, and sends every flow to a new
+//! target until its count has caught up. So a target that is behind joins the current round, and each
+//! instance has its own order within a round.
+
+use crate::ids::InstanceId;
+use crate::owner;
+
+/// Current round of one service at one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoundRobin {
+    current: u64,
+}
+
+impl RoundRobin {
+    /// Returns the round in which a target is next. `round` is the one that
+    /// [`RoundRobin::record`] returned for it last, or 0.
+    pub fn next_round(&self, round: u64) -> u64 {
+        round.max(self.current)
+    }
+
+    /// Records that a target gets a new flow, and returns the round after it.
+    pub fn record(&mut self, round: u64) -> u64 {
+        self.current = self.next_round(round);
+        self.current + 1
+    }
+}
+
+/// Returns the position of a target within a round at one instance. Positions are evenly distributed
+/// and differ between instances.
+pub fn position(instance: &InstanceId, target: &str) -> u64 {
+    owner::seed(instance, target)
+}
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -11,7 +11,7 @@
 use crate::collections::HashMap;
 use crate::cookie::CookieHasher;
 use crate::ids::{Cookie, DataCentreId, InstanceId, ServiceId, TargetId};
-use crate::placement_turns::{self, PlacementTurns};
+use crate::round_robin::{self, RoundRobin};
 use crate::route::{Registration, RegistrationState};
 use crate::target_health::TargetHealth;
 
@@ -34,9 +34,9 @@
     /// Recent new flows that this instance sent to the target while it was cold.
     pub cold_flow_counter: ColdFlowCounter,
     health: TargetHealth,
-    /// Turn of the target among those of its service; see [`crate::placement_turns`].
-    pub turn: u64,
-    /// Position of the target within a turn.
+    /// Round after the one in which the target last got a new flow; see [`crate::round_robin`].
+    pub round: u64,
+    /// Position of the target within a round.
     pub position: u64,
     /// Whether the target's address belongs to a target that started later, which shows that this
     /// one has ended.
@@ -139,7 +139,7 @@
     by_service: HashMap<ServiceId, Vec<usize>>,
     /// Target that started last at each address.
     by_address: HashMap<SocketAddr, usize>,
-    turns: HashMap<ServiceId, PlacementTurns>,
+    rounds: HashMap<ServiceId, RoundRobin>,
     /// Targets whose health may change with time.
     unsettled: BTreeSet<usize>,
 }
@@ -155,7 +155,7 @@
             by_cookie: HashMap::default(),
             by_service: HashMap::default(),
             by_address: HashMap::default(),
-            turns: HashMap::default(),
+            rounds: HashMap::default(),
             unsettled: BTreeSet::new(),
         }
     }
@@ -211,20 +211,20 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the current turn of a service.
-    pub fn turns(&self, service: &str) -> PlacementTurns {
-        self.turns.get(service).copied().unwrap_or_default()
+    /// Returns the round-robin state of a service.
+    pub fn rounds(&self, service: &str) -> RoundRobin {
+        self.rounds.get(service).copied().unwrap_or_default()
     }
 
-    /// Records that a target was chosen for a new flow.
+    /// Records that a target gets a new flow.
     ///
     /// # Panics
     ///
     /// Panics if no target has the index.
     pub fn record_chosen(&mut self, index: usize) {
         let entry = &mut self.entries[index];
-        let turns = self.turns.entry(entry.registration.service.clone()).or_default();
-        entry.turn = turns.record(entry.turn);
+        let rounds = self.rounds.entry(entry.registration.service.clone()).or_default();
+        entry.round = rounds.record(entry.round);
     }
 
     /// Returns the indices of all targets.
@@ -300,8 +300,8 @@
             cold_until: is_cold.then(|| now + registration.cold_left + COLD_START_MARGIN),
             cold_flow_counter: ColdFlowCounter::default(),
             health: TargetHealth::default(),
-            turn: 0,
-            position: placement_turns::position(&self.instance, &registration.target),
+            round: 0,
+            position: round_robin::position(&self.instance, &registration.target),
             has_ended: false,
             has_cookie_collision,
         });
--- a/lib/tests/test_packet_hold.rs
+++ b/lib/tests/test_packet_hold.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhead::packet_hold::{PacketHold, MAX_HELD_BYTES, MAX_HELD_PACKETS, MAX_HOLD_TIME};
+use hollyhead::packet_hold::{
+    HeldPacket, PacketHold, MAX_HELD_BYTES, MAX_HELD_PACKETS, MAX_HOLD_TIME,
+};
 use hollyhead::route::{FlowLimits, Part, Route, Routing, ServiceShare};
 use hollyhead::segment::{Control, FlowEnds, Segment, SegmentFormat};
 use testutils::bandwidth_limited_network::LinkLimits;
@@ -30,19 +32,22 @@
     Segment { control, data_len: 100, cookie: 9, ..opening(ends(caller), 0) }
 }
 
-fn decode_all(datagrams: &[Vec<u8>]) -> Vec<Segment> {
-    datagrams.iter().map(|datagram| JsonFormat.decode(datagram).unwrap()).collect()
+/// Returns the segments of held packets, which must match their datagrams.
+fn segments(packets: &[HeldPacket]) -> Vec<Segment> {
+    let is_whole = |packet: &HeldPacket| packet.datagram == encode(&packet.segment);
+    assert!(packets.iter().all(is_whole));
+    packets.iter().map(|packet| packet.segment).collect()
 }
 
 #[test]
 fn take_all_keeps_order() {
     let now = Instant::now();
     let mut hold = PacketHold::default();
-    let segments = [opening(ends(0), 0), data(1), data(2), opening(ends(3), 0)];
-    for segment in &segments {
+    let sent = [opening(ends(0), 0), data(1), data(2), opening(ends(3), 0)];
+    for segment in &sent {
         assert!(hold.push(segment, &encode(segment), now));
     }
-    assert_eq!(decode_all(&hold.take_all()), segments);
+    assert_eq!(segments(&hold.take_all()), sent);
     assert!(hold.take_all().is_empty());
 }
 
@@ -54,7 +59,7 @@
     for copy in 0..2 {
         assert!(hold.push(&opening(ends(0), copy), &encode(&opening(ends(0), copy)), now));
     }
-    assert_eq!(decode_all(&hold.take_all()), [opening(ends(0), 1)]);
+    assert_eq!(segments(&hold.take_all()), [opening(ends(0), 1)]);
 }
 
 #[test]
@@ -65,8 +70,8 @@
     assert!(hold.push(&data(0), &encode(&data(0)), now));
     assert!(hold.push(&data(1), &encode(&data(1)), later));
     assert!(hold.take_expired(now + MAX_HOLD_TIME - Duration::from_millis(1)).is_empty());
-    assert_eq!(decode_all(&hold.take_expired(now + MAX_HOLD_TIME)), [data(0)]);
-    assert_eq!(decode_all(&hold.take_expired(later + MAX_HOLD_TIME)), [data(1)]);
+    assert_eq!(segments(&hold.take_expired(now + MAX_HOLD_TIME)), [data(0)]);
+    assert_eq!(segments(&hold.take_expired(later + MAX_HOLD_TIME)), [data(1)]);
 }
 
 #[test]
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -3,7 +3,7 @@
 
 use hollyhead::ids::{DataCentreId, InstanceId};
 use hollyhead::placement::{choose_target, Candidate, HealthRank};
-use hollyhead::placement_turns::{position, PlacementTurns};
+use hollyhead::round_robin::{position, RoundRobin};
 use smol_str::format_smolstr;
 
 const INSTANCES: usize = 59;
@@ -14,7 +14,7 @@
 /// State of an instance: how it chooses among targets of equal load.
 struct Instance {
     id: InstanceId,
-    turns: PlacementTurns,
+    rounds: RoundRobin,
     /// Turn of each target, or the number of flows sent to it for the baseline.
     counts: Vec<u64>,
     is_baseline: bool,
@@ -23,7 +23,7 @@
 impl Instance {
     fn new(number: usize, is_baseline: bool) -> Self {
         let id = format_smolstr!("entry-{number}");
-        Self { id, turns: PlacementTurns::default(), counts: Vec::new(), is_baseline }
+        Self { id, rounds: RoundRobin::default(), counts: Vec::new(), is_baseline }
     }
 
     /// Chooses a target for a new flow, among targets that all seem idle.
@@ -35,9 +35,9 @@
             data_centre: &data_centre,
             health: HealthRank::Healthy,
             load_per_mille: 0,
-            turn: match self.is_baseline {
+            round: match self.is_baseline {
                 true => self.counts[index],
-                false => self.turns.next_turn(self.counts[index]),
+                false => self.rounds.next_round(self.counts[index]),
             },
             position: match self.is_baseline {
                 true => 0,
@@ -48,7 +48,7 @@
         let index = chosen.expect("all targets are healthy");
         self.counts[index] = match self.is_baseline {
             true => self.counts[index] + 1,
-            false => self.turns.record(self.counts[index]),
+            false => self.rounds.record(self.counts[index]),
         };
         index
     }
