--- a/benches/benches/cookie.rs
+++ b/benches/benches/cookie.rs
@@ -9,7 +9,8 @@
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use hollyhead::cold_start_limit::ColdStartLimit;
-use hollyhead::cookie_forwarder::{CookieForwarder, CookieForwarderSetup, CookieVerdict};
+use hollyhead::cookie_forwarder::{CookieForwarder, CookieForwarderSetup};
+use hollyhead::cookie_verdict::CookieVerdict;
 use hollyhead::directory::Directory;
 use hollyhead::ids::Cookie;
 use hollyhead::route::{
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -13,9 +13,8 @@
 
 use crate::byte_budget::ByteBudget;
 use crate::cold_start_limit::ColdStartLimit;
-use crate::cookie_forwarder::{
-    CookieForwarder, CookieForwarderSetup, CookieVerdict, DropReason, DueCheck, FlowTiming,
-};
+use crate::cookie_forwarder::{CookieForwarder, CookieForwarderSetup, DueCheck, FlowTiming};
+use crate::cookie_verdict::{CookieVerdict, DropReason};
 use crate::directory::Directory;
 use crate::directory_replication::DirectoryReplication;
 use crate::directory_state::DirectoryState;
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -3,7 +3,8 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::cookie_forwarder::{CookieForwarder, Decision};
+use crate::cookie_forwarder::CookieForwarder;
+use crate::cookie_verdict::Decision;
 use crate::decision_log::DecisionLogLimit;
 use crate::directory::Directory;
 use crate::ids::TargetId;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod cookie_entry;
 pub mod cookie_forwarder;
 pub mod cookie_instance;
+pub mod cookie_verdict;
 pub mod data_centre_transitions;
 pub mod decision_log;
 pub mod declaration;
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -9,9 +9,9 @@
 
 use hollyhead::cold_start_limit::ColdStartLimit;
 use hollyhead::cookie_forwarder::{
-    CookieForwarder, CookieForwarderSetup, CookieVerdict, DropReason, FlowTiming, ResetReason,
-    MAX_CHECKS_WITHOUT_NEW_FLOWS, OUTAGE_MARGIN,
+    CookieForwarder, CookieForwarderSetup, FlowTiming, MAX_CHECKS_WITHOUT_NEW_FLOWS, OUTAGE_MARGIN,
 };
+use hollyhead::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
 use hollyhead::directory::Directory;
 use hollyhead::directory_message::TargetCondition;
 use hollyhead::health_check::CheckOutcome;
