--- a/benches/benches/cookie.rs
+++ b/benches/benches/cookie.rs
@@ -40,6 +40,7 @@
         precedence: 1,
         is_idempotent: true,
         timeout: Duration::from_secs(1),
+        aim: Duration::ZERO,
     };
     let service = |number: usize| RoutedService {
         name: format_smolstr!("s{number}"),
--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -16,15 +16,14 @@
 use crate::directory::Directory;
 use crate::directory_message::TargetCondition;
 use crate::flow::{FlowHasher, FlowKey, Protocol};
-use crate::flow_tracker::FlowTracker;
+use crate::flow_tracker::{AnswerTime, FlowTracker};
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, FlowHash, InstanceId, TargetId};
 use crate::log_message::CONDITION;
-use crate::placement::{choose_target, Candidate, HealthRank};
-use crate::round_robin::RoundRobin;
 use crate::route::{Part, RecordBody};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::Segment;
+use crate::target_choice::TargetChoice;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
 use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
 use crate::view::{Member, View};
@@ -339,48 +338,16 @@
     }
 
     fn choose_target(&self, service: &str, now: Instant) -> Option<usize> {
-        let rounds = self.targets.rounds(service);
-        let indices = self.targets.indices_by_service(service).iter().copied();
-        let allowed = indices.filter(|index| self.may_take_new_flow(service, *index, now));
-        choose_target(
-            &self.setup.data_centre,
-            allowed.map(|index| self.candidate(index, rounds, now)),
-        )
-    }
-
-    /// Returns whether a new flow may go to a target. A cold target gets new flows only from the
-    /// instance that ranks first for it, within that instance's share of the limit.
-    fn may_take_new_flow(&self, service: &str, index: usize, now: Instant) -> bool {
-        let entry = self.targets.get(index);
-        if !entry.accepts_new_flows() {
-            return false;
-        }
-        if !entry.is_cold(now) {
-            return true;
-        }
-        let capacity =
-            self.routes.service(service).map_or(0, |service| service.cold_flows_per_second);
-        let members = self.view.members().iter().map(|member| &member.id);
-        ranks_first(&entry.registration.target, &self.setup.id, members)
-            && entry
-                .cold_flow_counter
-                .is_below(self.setup.cold_start_limit.flows_per_window(capacity), now)
-    }
-
-    fn candidate(&self, index: usize, rounds: RoundRobin, now: Instant) -> Candidate<'_> {
-        let entry = self.targets.get(index);
-        let health = if entry.health().is_down() {
-            HealthRank::Down
-        } else if entry.health().is_healthy(now) {
-            HealthRank::Healthy
-        } else {
-            HealthRank::Suspected
+        let choice = TargetChoice {
+            instance: &self.setup.id,
+            data_centre: &self.setup.data_centre,
+            cold_start_limit: self.setup.cold_start_limit,
+            targets: &self.targets,
+            routes: &self.routes,
+            flows: &self.watch,
+            view: &self.view,
         };
-        let slots = entry.registration.slots.max(1);
-        let load_per_mille = self.watch.running_requests(index).saturating_mul(1_000) / slots;
-        let data_centre = &entry.registration.data_centre;
-        let (round, position) = (rounds.next_round(entry.round), entry.position);
-        Candidate { index, data_centre, health, load_per_mille, round, position }
+        choice.choose(service, now)
     }
 
     fn forward_open(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
@@ -420,7 +387,9 @@
         };
         let seen = self.watch.record_segment(segment, index, now);
         self.timings.extend(seen.handshake_time.map(FlowTiming::Opened));
-        self.timings.extend(seen.response_time.map(FlowTiming::Answered));
+        if let Some(answer) = seen.answer {
+            self.record_answer(&answer);
+        }
         if seen.is_progress && !self.targets.get(index).health().has_no_failures() {
             let finding = self.targets.health_mut(index).record_progress();
             self.apply_finding(index, finding, now, true);
@@ -432,6 +401,10 @@
         verdict
     }
 
+    fn record_answer(&mut self, answer: &AnswerTime) {
+        self.timings.push(FlowTiming::Answered(answer.response_time));
+    }
+
     fn apply_finding(
         &mut self,
         index: usize,
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -45,6 +45,28 @@
     last_new_data_at: Instant,
     last_ack: u32,
     running_since: Option<Instant>,
+    /// Time that the handshake took; `None` if this instance did not see it.
+    round_trip: Option<Duration>,
+}
+
+/// Time that a target took to answer a request, derived from the packets of its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTime {
+    /// Index of the target.
+    pub target: usize,
+    /// Time from the caller's last new data to its first acknowledgement of data from the target.
+    pub response_time: Duration,
+    /// Time that the handshake of the flow took, which a round trip without work takes too; `None`
+    /// if this instance did not see it.
+    pub round_trip: Option<Duration>,
+}
+
+impl AnswerTime {
+    /// Returns the time that the target needed for the request, waiting included: the response time
+    /// without a round trip. `None` if the round trip is unknown.
+    pub fn work(&self) -> Option<Duration> {
+        Some(self.response_time.saturating_sub(self.round_trip?))
+    }
 }
 
 /// Conclusions from one packet of an open flow.
@@ -57,9 +79,8 @@
     /// Time from the first opening packet to this packet; `None` unless this packet is the first
     /// after the opening.
     pub handshake_time: Option<Duration>,
-    /// Time from the caller's last new data to this packet, the first one to acknowledge data from
-    /// the target since then; `None` for all other packets.
-    pub response_time: Option<Duration>,
+    /// Answer that this packet is the first to acknowledge; `None` for all other packets.
+    pub answer: Option<AnswerTime>,
 }
 
 /// Flows of which this instance has recently seen packets.
@@ -100,6 +121,9 @@
         now: Instant,
     ) -> Observation {
         let half_open = self.half_open.remove(&segment.ends);
+        // After a retransmission it is unknown which copy of the opening packet was answered.
+        let first_copy = half_open.as_ref().filter(|flow| flow.first_sent_at == flow.last_sent_at);
+        let round_trip = first_copy.map(|flow| now.saturating_duration_since(flow.first_sent_at));
         let mut seen = Observation {
             is_progress: half_open.is_some(),
             handshake_time: half_open.map(|flow| now.saturating_duration_since(flow.first_sent_at)),
@@ -120,6 +144,7 @@
                 last_new_data_at: now,
                 last_ack: segment.ack,
                 running_since: None,
+                round_trip,
             }),
         };
         flow.last_seen = now;
@@ -130,7 +155,11 @@
             seen.is_progress = true;
             flow.last_ack = segment.ack;
             if let Some(since) = flow.running_since.take() {
-                seen.response_time = Some(now.saturating_duration_since(since));
+                seen.answer = Some(AnswerTime {
+                    target: flow.target,
+                    response_time: now.saturating_duration_since(since),
+                    round_trip: flow.round_trip,
+                });
                 decrement(&mut self.running, flow.target);
             }
         }
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 
 use crate::ids::{DataCentreId, RouteId, ServiceId, TargetId, TargetToken, Version};
 
@@ -70,6 +70,28 @@
         /// Timeout of a request in the route's flows, in milliseconds on the wire.
         #[serde(with = "crate::millis")]
         pub timeout: Duration,
+        /// Latency objective of a request in the route's flows, in milliseconds on the wire; zero if
+        /// the operator set none.
+        #[serde(default, with = "crate::millis")]
+        pub aim: Duration,
+    }
+
+    /// Route as builds encode it that know no latency objectives. Decoded only, so that instances
+    /// of both builds can run side by side.
+    pub struct LegacyRoute {
+        /// See [`Route::name`].
+        pub name: RouteId,
+        /// See [`Route::address`].
+        pub address: SocketAddrV4,
+        /// See [`Route::services`].
+        pub services: Vec<ServiceShare>,
+        /// See [`Route::precedence`].
+        pub precedence: u8,
+        /// See [`Route::is_idempotent`].
+        pub is_idempotent: bool,
+        /// See [`Route::timeout`].
+        #[serde(with = "crate::millis")]
+        pub timeout: Duration,
     }
 
     /// Settings of a service that routes refer to.
@@ -131,8 +153,9 @@
     pub enum RecordBody {
         /// Version of the routing in force, as assigned by the operator.
         RoutingVersion(u64),
-        /// Route of the routing document.
-        Route(Route),
+        /// Route of the routing document, from an instance of a build that knows no latency
+        /// objectives.
+        Route(LegacyRoute),
         /// Service of the routing document.
         Service(RoutedService),
         /// Limits of the routing document.
@@ -141,6 +164,8 @@
         Registration(Registration),
         /// The data centre that the record is named after is out of service.
         Outage,
+        /// Route of the routing document.
+        AimedRoute(Route),
     }
 
     /// Record of a part of the directory.
@@ -154,6 +179,20 @@
     }
 }
 
+impl From<LegacyRoute> for Route {
+    fn from(route: LegacyRoute) -> Self {
+        Self {
+            name: route.name,
+            address: route.address,
+            services: route.services,
+            precedence: route.precedence,
+            is_idempotent: route.is_idempotent,
+            timeout: route.timeout,
+            aim: Duration::ZERO,
+        }
+    }
+}
+
 impl DirectoryRecord {
     /// Returns whether the object store no longer has the record.
     pub fn is_removed(&self) -> bool {
@@ -182,7 +221,7 @@
     pub fn into_records(self) -> Vec<(SmolStr, RecordBody)> {
         let routes = self.routes.into_iter();
         let routes = routes
-            .map(|route| (SmolStr::new(format!("route/{}", route.name)), RecordBody::Route(route)));
+            .map(|route| (format_smolstr!("route/{}", route.name), RecordBody::AimedRoute(route)));
         let services = self.services.into_iter();
         let services = services.map(|service| {
             (SmolStr::new(format!("service/{}", service.name)), RecordBody::Service(service))
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -109,10 +109,11 @@
                     self.services.insert(service.name.clone(), service.clone());
                 }
                 RecordBody::Limits(limits) => self.limits = Some(limits.clone()),
+                RecordBody::AimedRoute(route) => {
+                    self.insert(route.clone(), &mut previous_routes);
+                }
                 RecordBody::Route(route) => {
-                    let entry = successor(route, previous_routes.remove(&route.address));
-                    self.removed.remove(&route.address);
-                    self.routes.insert(route.address, entry);
+                    self.insert(route.clone().into(), &mut previous_routes);
                 }
                 RecordBody::Registration(_) | RecordBody::Outage => {
                     log::error!("routing part of the directory contains a record of another part; ignoring it");
@@ -121,11 +122,19 @@
         }
         self.removed.extend(previous_routes.into_keys());
     }
+
+    /// Inserts a route, which replaces the one of `previous_routes` with the same address.
+    fn insert(&mut self, route: Route, previous_routes: &mut HashMap<SocketAddrV4, RouteEntry>) {
+        let address = route.address;
+        let entry = successor(route, previous_routes.remove(&address));
+        self.removed.remove(&address);
+        self.routes.insert(address, entry);
+    }
 }
 
 /// Returns the entry of a route that replaces `previous`, whose services it inherits as former
 /// ones.
-fn successor(route: &Route, previous: Option<RouteEntry>) -> RouteEntry {
+fn successor(route: Route, previous: Option<RouteEntry>) -> RouteEntry {
     let mut former_services: Vec<ServiceId> = Vec::new();
     if let Some(previous) = previous {
         let shares = previous.route.services.into_iter().map(|share| share.service);
@@ -136,5 +145,5 @@
             }
         }
     }
-    RouteEntry { route: route.clone(), former_services }
+    RouteEntry { route, former_services }
 }
--- /dev/null
+++ b/lib/src/target_choice.rs
@@ -0,0 +1,79 @@
+//! Choice of the target of a new flow, from the state of one instance.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use crate::cold_start_limit::{ranks_first, ColdStartLimit};
+use crate::flow_tracker::FlowTracker;
+use crate::ids::{DataCentreId, InstanceId};
+use crate::placement::{choose_target, Candidate, HealthRank};
+use crate::round_robin::RoundRobin;
+use crate::route_table::RouteTable;
+use crate::target_table::TargetTable;
+use crate::view::View;
+
+/// State of an instance that the choice of a target depends on.
+#[derive(Debug)]
+pub struct TargetChoice<'a> {
+    /// Name of the instance, by which it is ranked among the senders to a cold target.
+    pub instance: &'a InstanceId,
+    /// Data centre of the instance, whose targets are preferred.
+    pub data_centre: &'a DataCentreId,
+    /// Limit on new flows to a cold target.
+    pub cold_start_limit: ColdStartLimit,
+    /// Known targets.
+    pub targets: &'a TargetTable,
+    /// Routes and services in force.
+    pub routes: &'a RouteTable,
+    /// Flows whose packets this instance has forwarded.
+    pub flows: &'a FlowTracker,
+    /// Live instances, among which senders to cold targets are ranked.
+    pub view: &'a Arc<View>,
+}
+
+impl TargetChoice<'_> {
+    /// Returns the index of the target that a new flow of `service` goes to, or `None` if no target
+    /// may get it.
+    pub fn choose(&self, service: &str, now: Instant) -> Option<usize> {
+        let rounds = self.targets.rounds(service);
+        let indices = self.targets.indices_by_service(service).iter().copied();
+        let allowed = indices.filter(|index| self.may_take_new_flow(service, *index, now));
+        choose_target(self.data_centre, allowed.map(|index| self.candidate(index, rounds, now)))
+    }
+
+    /// Returns whether a new flow may go to a target. A cold target gets new flows only from the
+    /// instance that ranks first for it, within that instance's share of the limit.
+    fn may_take_new_flow(&self, service: &str, index: usize, now: Instant) -> bool {
+        let entry = self.targets.get(index);
+        if !entry.accepts_new_flows() {
+            return false;
+        }
+        if !entry.is_cold(now) {
+            return true;
+        }
+        let capacity =
+            self.routes.service(service).map_or(0, |service| service.cold_flows_per_second);
+        let members = self.view.members().iter().map(|member| &member.id);
+        ranks_first(&entry.registration.target, self.instance, members)
+            && entry
+                .cold_flow_counter
+                .is_below(self.cold_start_limit.flows_per_window(capacity), now)
+    }
+
+    fn candidate(&self, index: usize, rounds: RoundRobin, now: Instant) -> Candidate<'_> {
+        let entry = self.targets.get(index);
+        let health = if entry.health().is_down() {
+            HealthRank::Down
+        } else if entry.health().is_healthy(now) {
+            HealthRank::Healthy
+        } else {
+            HealthRank::Suspected
+        };
+        let slots = entry.registration.slots.max(1);
+        let load_per_mille = self.flows.running_requests(index).saturating_mul(1_000) / slots;
+        let data_centre = &entry.registration.data_centre;
+        let (round, position) = (rounds.next_round(entry.round), entry.position);
+        Candidate { index, data_centre, health, load_per_mille, round, position }
+    }
+}
--- a/lib/tests/test_cookie_fleet.rs
+++ b/lib/tests/test_cookie_fleet.rs
@@ -32,6 +32,7 @@
         precedence: 1,
         is_idempotent: true,
         timeout: Duration::from_secs(2),
+        aim: Duration::ZERO,
     };
     let limits = FlowLimits { idle_timeout: Duration::from_secs(10) };
     let routes = (0..routes).map(route).collect();
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -55,6 +55,7 @@
         precedence: 1,
         is_idempotent,
         timeout: Duration::from_secs(1),
+        aim: Duration::ZERO,
     }
 }
 
--- a/lib/tests/test_directory_reader.rs
+++ b/lib/tests/test_directory_reader.rs
@@ -93,6 +93,7 @@
         precedence: 1,
         is_idempotent: true,
         timeout: Duration::from_secs(1),
+        aim: Duration::ZERO,
     };
     let limits = FlowLimits { idle_timeout: Duration::from_secs(10) };
     let routes = routes.iter().map(route).collect();
--- a/lib/tests/test_directory_replication.rs
+++ b/lib/tests/test_directory_replication.rs
@@ -17,13 +17,14 @@
 
 fn route(number: u16, version: Version) -> NamedRecord {
     let name = SmolStr::new(format!("route/r{number:04}"));
-    let body = RecordBody::Route(Route {
+    let body = RecordBody::AimedRoute(Route {
         name: format!("r{number:04}").into(),
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 1_000 + number),
         services: Vec::new(),
         precedence: 0,
         is_idempotent: true,
         timeout: Duration::from_secs(1),
+        aim: Duration::ZERO,
     });
     (name, version, body)
 }
--- a/lib/tests/test_packet_hold.rs
+++ b/lib/tests/test_packet_hold.rs
@@ -96,6 +96,7 @@
         precedence: 1,
         is_idempotent: true,
         timeout: Duration::from_secs(2),
+        aim: Duration::ZERO,
     };
     let limits = FlowLimits { idle_timeout: Duration::from_secs(10) };
     serde_json::to_value(Routing { version: 1, routes: vec![route], services: Vec::new(), limits })
