room: demand of a data centre, requests turned away included; forwarder holds the rooms

Cause: the parts on scarce room and on uneven demand read and write the same figures. Change: their types and their place, without a writer. Conclusion: no decision changes.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::cold_start_limit::{ranks_first, ColdStartLimit};
+use crate::collections::HashMap;
 use crate::cookie::CookieHasher;
 use crate::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
 use crate::directory::Directory;
@@ -18,8 +19,9 @@
 use crate::flow::{FlowHasher, FlowKey, Protocol};
 use crate::flow_tracker::{AnswerTime, FlowTracker};
 use crate::health_check::CheckOutcome;
-use crate::ids::{DataCentreId, FlowHash, InstanceId, TargetId};
+use crate::ids::{DataCentreId, FlowHash, InstanceId, ServiceId, TargetId};
 use crate::log_message::CONDITION;
+use crate::room::ServiceRoom;
 use crate::route::{Part, RecordBody};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::Segment;
@@ -100,6 +102,7 @@
     targets: TargetTable,
     watch: FlowTracker,
     view: Arc<View>,
+    rooms: HashMap<ServiceId, ServiceRoom>,
     routing_confirmed_at: Option<Instant>,
     condition_changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
@@ -116,6 +119,7 @@
             routes: RouteTable::default(),
             watch: FlowTracker::default(),
             view: Arc::default(),
+            rooms: HashMap::default(),
             routing_confirmed_at: None,
             condition_changes: Vec::new(),
             timings: Vec::new(),
@@ -143,6 +147,16 @@
         self.view = view;
     }
 
+    /// Sets the room of the services, which replaces the former figures.
+    pub fn set_rooms(&mut self, rooms: HashMap<ServiceId, ServiceRoom>) {
+        self.rooms = rooms;
+    }
+
+    /// Returns the room of a service; `None` while it is unknown.
+    pub fn room(&self, service: &str) -> Option<&ServiceRoom> {
+        self.rooms.get(service)
+    }
+
     /// Applies a part of the directory that has changed.
     pub fn update(&mut self, directory: &Directory, part: Part, now: Instant) {
         match part {
