soak: testbed in four files; backoff and METADATA_FIELD where both users can import them

Cause: testbed.rs had 575 lines with four jobs; watcher and platform_sync, merge and transaction imported each other. Change: instance_faults, store_faults and testbed_instance are taken out of testbed; backoff is a module; METADATA_FIELD stands in merge. Conclusion: no behaviour changes; three import circles remain that are more than links in comments.

--- a/lib/src/announcement.rs
+++ b/lib/src/announcement.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::backoff::backoff;
 use crate::ids::{DataCentreId, Epoch};
 use crate::kernel::Kernel;
 use crate::platform::{Platform, PlatformError, Precondition};
-use crate::platform_sync::backoff;
 
 /// Kind of the platform objects that hold announcements.
 pub const INSTANCE_KIND: &str = "instance";
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod audit_report;
 pub mod audit_requests;
 pub mod backend_pool;
+pub mod backoff;
 pub mod base_table;
 pub mod binding;
 pub mod byte_budget;
--- a/lib/src/merge.rs
+++ b/lib/src/merge.rs
@@ -5,7 +5,8 @@
 
 use serde_json::{Map, Value};
 
-use crate::transaction::METADATA_FIELD;
+/// Name of the field that holds the metadata of a record.
+pub const METADATA_FIELD: &str = "metadata";
 
 /// A field that two writers changed to different values.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lib/src/platform_sync.rs
+++ b/lib/src/platform_sync.rs
@@ -6,13 +6,11 @@
 
 use tokio::time::Instant;
 
+use crate::backoff::backoff;
 use crate::kernel::Kernel;
 use crate::platform::Platform;
-use crate::random::Random;
 use crate::watcher::{self, Watcher};
 
-/// Upper bound of the backoff after a failed call.
-pub const MAX_BACKOFF: Duration = Duration::from_secs(5);
 /// Shortest interval at which an instance reads the list of instances.
 pub const MIN_LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which the eligible members of a data centre together read the list of instances.
@@ -22,8 +20,6 @@
 /// Age up to which a configuration received from peers makes an instance's own initial listing
 /// unnecessary.
 pub const MAX_FRESH_AGE: Duration = Duration::from_secs(10);
-/// Half of the upper bound of the backoff after the first failure.
-const BACKOFF_UNIT: Duration = Duration::from_millis(100);
 
 /// Keeps the kernel's configuration up to date. Never returns.
 pub async fn follow_config(kernel: Arc<Kernel>, platform: Arc<dyn Platform>) {
@@ -64,14 +60,6 @@
     }
 }
 
-/// Returns the backoff after a number of consecutive failures: a random duration (full jitter)
-/// whose upper bound doubles with each failure, up to [`MAX_BACKOFF`].
-pub fn backoff(random: &dyn Random, failures: u32) -> Duration {
-    let bound = BACKOFF_UNIT.saturating_mul(1 << failures.min(16)).min(MAX_BACKOFF);
-    let bound = u64::try_from(bound.as_millis()).unwrap_or(u64::MAX);
-    Duration::from_millis(random.below(bound + 1))
-}
-
 /// Returns the interval at which this instance reads the list of instances; see
 /// [`LIST_INTERVAL_PER_MEMBER`].
 fn list_interval(kernel: &Kernel) -> Duration {
--- a/lib/src/transaction.rs
+++ b/lib/src/transaction.rs
@@ -9,16 +9,14 @@
 use smol_str::SmolStr;
 use thiserror::Error;
 
+use crate::backoff::backoff;
 use crate::ids::Version;
-use crate::merge::{self, FieldConflict};
+use crate::merge::{self, FieldConflict, METADATA_FIELD};
 use crate::platform::{Object, Platform, PlatformError, Precondition};
-use crate::platform_sync::backoff;
 use crate::random::Random;
 use crate::record::RecordKind;
 use crate::schema::{self, SchemaError};
 
-/// Name of the field that holds the metadata of a record.
-pub const METADATA_FIELD: &str = "metadata";
 /// Name of the metadata field that holds the id of the record's last operation.
 pub const OPERATION_FIELD: &str = "operation";
 /// Maximum number of attempts of one operation.
--- a/lib/src/watcher.rs
+++ b/lib/src/watcher.rs
@@ -7,13 +7,13 @@
 
 use tokio::time::Instant;
 
+use crate::backoff::backoff;
 use crate::ids::Version;
 use crate::kernel::Kernel;
 use crate::lease::{Lease, RENEW_INTERVAL};
 use crate::metrics::Metrics;
 use crate::owner::{score, seed};
 use crate::platform::{Listing, Object, Platform, PlatformError};
-use crate::platform_sync::backoff;
 use crate::record::RecordKind;
 
 /// Largest number of watchers in a data centre: each slot has a lease.
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -2,7 +2,7 @@
 //! injection of faults.
 
 use std::collections::VecDeque;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,12 +10,9 @@
 use anyhow::{Context, Result};
 use parking_lot::Mutex;
 use serde_json::json;
-use smol_str::{format_smolstr, SmolStr};
 use testutils::echo_target::TargetEvent;
-use testutils::fault_proxy::{ConnectionFault, ConnectionProxy, DatagramFaults, DatagramProxy};
-use testutils::flow_router::{FlowRouter, RoutedInstance};
-use testutils::instance_settings::{cookie_text, CookieAddresses};
-use testutils::object_server::{ObjectServer, StoreBehaviour};
+use testutils::fault_proxy::{DatagramFaults, DatagramProxy};
+use testutils::flow_router::FlowRouter;
 use testutils::object_store::{ObjectStore, StoreCopy, StoreLimits};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinSet;
@@ -24,36 +21,17 @@
 use crate::addresses::{Addresses, Role};
 use crate::checker::{Disturbance, History, Outage, RouteLifetime, Subject, OUTAGE_BOUND};
 use crate::configuration::{Configuration, COLD_FLOWS_PER_SECOND};
-use crate::fault_plan::{ConfigurationChange, Fault, StoreFault};
-use crate::instance_process::{InstanceProcess, Signal};
+use crate::fault_plan::{ConfigurationChange, Fault};
+use crate::instance_process::Signal;
 use crate::targets::Targets;
+use crate::testbed_instance::{routed_instance, Instance, COLD_MULTIPLIER, COLD_SLACK};
 
 /// Names of the data centres. Instances and targets are spread evenly over them.
 pub const DATA_CENTRES: [&str; 3] = ["horn-east-a", "horn-east-b", "horn-east-c"];
-/// Number of instances that the settings list as seeds for discovering other members, as few as the
-/// users' platform lists.
-const SEED_INSTANCES: usize = 3;
-/// Time between SIGTERM and SIGKILL.
-const STOP_GRACE: Duration = Duration::from_secs(6);
-/// Time after which an ended process is restarted.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time between two polls of a condition.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between the graceful stops of two instances.
 const STOP_INTERVAL: Duration = Duration::from_millis(500);
-/// Factor by which the flow rate of cold targets may exceed their capacity.
-const COLD_MULTIPLIER: f64 = 1.5;
-/// Number of flows per second that cold targets may receive beyond that factor.
-const COLD_SLACK: usize = 5;
-/// Age up to which copies of the object store are kept.
-const MAX_COPY_AGE: Duration = Duration::from_secs(8);
-/// Time for which the object store is away before it returns from a copy.
-const RESTORE_OUTAGE: Duration = Duration::from_millis(300);
-/// Time after a restore at which the operator writes again what was lost.
-const WRITE_AGAIN_DELAY: Duration = Duration::from_millis(700);
-/// Delay of a slow object store, slightly longer than a reader waits for the message of another
-/// reader.
-const STORE_DELAY: Duration = Duration::from_millis(700);
 /// Delay of messages between instances, longer than the heartbeat interval of a reader.
 const PEER_DELAY: Duration = Duration::from_millis(300);
 /// Time between two changes of a series, shorter than the pause between two watches, so that one
@@ -71,15 +49,6 @@
     pub targets: usize,
 }
 
-struct Instance {
-    name: SmolStr,
-    data_centre: SmolStr,
-    settings: String,
-    process: Mutex<InstanceProcess>,
-    store: ObjectServer,
-    path_to_store: ConnectionProxy,
-}
-
 /// Guard that closes its testbed on drop, so that no process outlives the run.
 pub struct TestbedGuard(pub Arc<Testbed>);
 
@@ -91,21 +60,21 @@
 
 /// Testbed of a run.
 pub struct Testbed {
-    addresses: Addresses,
-    instances: Vec<Instance>,
-    targets: Targets,
-    configuration: Mutex<Configuration>,
-    store: Arc<ObjectStore>,
+    pub(crate) addresses: Addresses,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) targets: Targets,
+    pub(crate) configuration: Mutex<Configuration>,
+    pub(crate) store: Arc<ObjectStore>,
     /// Copies of the store of the last [`MAX_COPY_AGE`], the oldest first.
-    copies: Mutex<VecDeque<(Instant, StoreCopy)>>,
-    router: Arc<FlowRouter>,
-    peer_faults: Arc<Mutex<DatagramFaults>>,
+    pub(crate) copies: Mutex<VecDeque<(Instant, StoreCopy)>>,
+    pub(crate) router: Arc<FlowRouter>,
+    pub(crate) peer_faults: Arc<Mutex<DatagramFaults>>,
     /// Service addresses that callers use: those of permanent routes, then routes that were added
     /// one at a time.
     pub services: Arc<Mutex<Vec<SocketAddrV4>>>,
     /// Record of the disturbances and observations of the run.
     pub history: Arc<Mutex<History>>,
-    tasks: Mutex<JoinSet<()>>,
+    pub(crate) tasks: Mutex<JoinSet<()>>,
 }
 
 impl Testbed {
@@ -299,143 +268,6 @@
         }
     }
 
-    async fn kill(&self, index: usize) -> Result<()> {
-        let disturbance = self.begin_instance_disturbance(index, false);
-        self.instances[index].process.lock().kill()?;
-        tokio::time::sleep(RESTART_DELAY).await;
-        self.instances[index].process.lock().start()?;
-        self.end_disturbance(disturbance);
-        Ok(())
-    }
-
-    async fn stop(&self, index: usize) -> Result<()> {
-        let disturbance = self.begin_instance_disturbance(index, true);
-        let process = &self.instances[index].process;
-        process.lock().signal(Signal::Terminate)?;
-        let end = Instant::now() + STOP_GRACE;
-        while !process.lock().has_ended()? {
-            if Instant::now() >= end {
-                process.lock().kill()?;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        tokio::time::sleep(RESTART_DELAY).await;
-        process.lock().start()?;
-        self.end_disturbance(disturbance);
-        Ok(())
-    }
-
-    async fn pause(&self, index: usize, time: Duration) -> Result<()> {
-        let disturbance = self.begin_instance_disturbance(index, false);
-        self.instances[index].process.lock().signal(Signal::Pause)?;
-        tokio::time::sleep(time).await;
-        self.instances[index].process.lock().signal(Signal::Resume)?;
-        self.end_disturbance(disturbance);
-        Ok(())
-    }
-
-    async fn cut_peers(&self, from: usize, to: usize, time: Duration) -> Result<()> {
-        let ip = |index| self.addresses.ip(Role::Instance, index).into();
-        let disturbances = [from, to].map(|index| self.begin_instance_disturbance(index, false));
-        self.peer_faults.lock().block(ip(from), ip(to));
-        tokio::time::sleep(time).await;
-        self.peer_faults.lock().unblock(ip(from), ip(to));
-        disturbances.into_iter().for_each(|disturbance| self.end_disturbance(disturbance));
-        Ok(())
-    }
-
-    async fn inject_store_fault(&self, fault: StoreFault, time: Duration) -> Result<()> {
-        let disturbance = self.begin_disturbance(Subject::Store, false);
-        let instance = |index: usize| &self.instances[index];
-        let set = |is_on: bool| {
-            let behaviour = |to| if is_on { to } else { StoreBehaviour::Normal };
-            let path = |to| if is_on { to } else { ConnectionFault::None };
-            match fault {
-                StoreFault::Down => self.store.set_down(is_on),
-                StoreFault::Refuses(index) => {
-                    instance(index).store.set_behaviour(behaviour(StoreBehaviour::Unavailable));
-                }
-                StoreFault::LosesAnswers(index) => {
-                    instance(index).store.set_behaviour(behaviour(StoreBehaviour::DropsResponses));
-                }
-                StoreFault::Slow => {
-                    let all = self.instances.iter();
-                    all.for_each(|it| {
-                        it.store.set_behaviour(behaviour(StoreBehaviour::Delayed(STORE_DELAY)));
-                    });
-                }
-                StoreFault::Silent(index) => {
-                    instance(index).path_to_store.set_fault(path(ConnectionFault::Blackhole));
-                }
-                StoreFault::Reset(index) => {
-                    instance(index).path_to_store.set_fault(path(ConnectionFault::Reset));
-                }
-                StoreFault::OneWay(index) => {
-                    instance(index).path_to_store.set_fault(path(ConnectionFault::OneWay));
-                }
-            }
-        };
-        set(true);
-        tokio::time::sleep(time).await;
-        set(false);
-        self.end_disturbance(disturbance);
-        Ok(())
-    }
-
-    /// Keeps a copy of the store, and drops those that are older than any restore needs.
-    fn copy_store(&self) {
-        let mut copies = self.copies.lock();
-        copies.push_back((Instant::now(), self.store.copy()));
-        while copies.front().is_some_and(|(at, _)| at.elapsed() > MAX_COPY_AGE) {
-            copies.pop_front();
-        }
-    }
-
-    async fn restore_store(&self, age: Duration) -> Result<()> {
-        let disturbance = self.begin_disturbance(Subject::Store, false);
-        self.store.set_down(true);
-        tokio::time::sleep(RESTORE_OUTAGE).await;
-        let copy = {
-            let mut copies = self.copies.lock();
-            let old = copies.iter().position(|(at, _)| at.elapsed() <= age).unwrap_or_default();
-            let copy = copies.get(old).map(|(_, copy)| copy.clone());
-            copies.clear();
-            copy
-        };
-        if let Some(copy) = copy {
-            self.store.restore(copy);
-        }
-        self.store.set_down(false);
-        tokio::time::sleep(WRITE_AGAIN_DELAY).await;
-        self.write_again().await;
-        self.end_disturbance(disturbance);
-        Ok(())
-    }
-
-    /// Writes again what the operator had written, as the restored store may lack it.
-    async fn write_again(&self) {
-        while !self.write_configuration() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        for data_centre in DATA_CENTRES {
-            let is_out = || {
-                let history = self.history.lock();
-                let mut outages = history.outages.iter();
-                outages.any(|it| it.data_centre == data_centre && it.until.is_none())
-            };
-            let write = || {
-                if is_out() {
-                    self.store.write("evacuations", data_centre, json!({})).is_some()
-                } else {
-                    self.store.remove("evacuations", data_centre)
-                }
-            };
-            while !write() {
-                tokio::time::sleep(POLL_INTERVAL).await;
-            }
-        }
-    }
-
     async fn take_out_of_service(&self, data_centre: &str, time: Duration) -> Result<()> {
         while self.store.write("evacuations", data_centre, json!({})).is_none() {
             tokio::time::sleep(POLL_INTERVAL).await;
@@ -474,7 +306,7 @@
 
     /// Writes the next version of the configuration and returns whether the object store accepted
     /// it.
-    fn write_configuration(&self) -> bool {
+    pub(crate) fn write_configuration(&self) -> bool {
         let mut configuration = self.configuration.lock();
         if self.store.write("config", "main", configuration.next_version()).is_none() {
             return false;
@@ -493,7 +325,7 @@
         true
     }
 
-    fn begin_instance_disturbance(&self, index: usize, is_planned: bool) -> usize {
+    pub(crate) fn begin_instance_disturbance(&self, index: usize, is_planned: bool) -> usize {
         let subject = Subject::Instance(self.addresses.ip(Role::Instance, index));
         self.begin_disturbance(subject, is_planned)
     }
@@ -502,57 +334,15 @@
         self.begin_disturbance(Subject::Host, false)
     }
 
-    fn begin_disturbance(&self, subject: Subject, is_planned: bool) -> usize {
+    pub(crate) fn begin_disturbance(&self, subject: Subject, is_planned: bool) -> usize {
         self.history.lock().begin_disturbance(subject, is_planned)
     }
 
-    fn end_disturbance(&self, disturbance: usize) {
+    pub(crate) fn end_disturbance(&self, disturbance: usize) {
         self.history.lock().end_disturbance(disturbance);
     }
 }
 
-impl Instance {
-    async fn prepare(
-        program: &Path,
-        dir: &Path,
-        index: usize,
-        addresses: &Addresses,
-        store: &Arc<ObjectStore>,
-    ) -> Result<Self> {
-        let data_centre = SmolStr::new(DATA_CENTRES[index % DATA_CENTRES.len()]);
-        let name = format_smolstr!("entry-{data_centre}-{index}");
-        let any = (Ipv4Addr::LOCALHOST, 0).into();
-        let store = ObjectServer::start(Arc::clone(store), any).await?;
-        let path_to_store = ConnectionProxy::start(store.address()).await?;
-        let addresses = CookieAddresses {
-            flow: addresses.flow(index).into(),
-            peer: addresses.peer(index),
-            peer_advertised: Some(addresses.peer_proxy(index)),
-            admin: addresses.admin(index),
-            platform: path_to_store.address(),
-            seeds: (0..SEED_INSTANCES).map(|index| addresses.peer_proxy(index)).collect(),
-        };
-        let settings = format!(
-            "{}outage_bound_ms = {}\ncold_multiplier = {COLD_MULTIPLIER}\n\
-             cold_slack = {COLD_SLACK}\n[stop]\ngrace_ms = {}\n",
-            cookie_text(&name, &data_centre, &addresses),
-            OUTAGE_BOUND.as_millis(),
-            STOP_GRACE.as_millis(),
-        );
-        let process = Mutex::new(InstanceProcess::new(program, dir, &name, &settings)?);
-        Ok(Self { name, data_centre, settings, process, store, path_to_store })
-    }
-}
-
-fn routed_instance(addresses: &Addresses) -> impl Fn((usize, &Instance)) -> RoutedInstance + '_ {
-    |(index, instance)| RoutedInstance {
-        name: instance.name.clone(),
-        data_centre: instance.data_centre.clone(),
-        flow: addresses.flow(index),
-        admin: addresses.admin(index),
-    }
-}
-
 /// Records periods in which the host did not schedule this process, since the other processes of
 /// the run may have stalled as well.
 async fn watch_host(history: &Mutex<History>) {
