--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod check;
+mod check_routing;
 mod dev;
 mod drain;
 mod edit;
@@ -30,6 +31,12 @@
     /// Example: hollyhead check entry.ini
     #[bpaf(command)]
     Check(#[bpaf(external(check::check))] check::Check),
+    /// Check a routing document before it is sent, and compare it with the one in force
+    #[bpaf(
+        command("check-routing"),
+        footer("Example: hollyhead check-routing routing.json --in-force 127.0.0.1:9100")
+    )]
+    CheckRouting(#[bpaf(external(check_routing::check_routing))] check_routing::CheckRouting),
     /// Run a small deployment in one process, with a simulated platform and targets, and light traffic
     ///
     /// Example: hollyhead dev --instances 3
@@ -101,6 +108,7 @@
 pub fn run(command: &Command) -> Result<ExitCode> {
     match command {
         Command::Check(check) => check.run(),
+        Command::CheckRouting(check) => block_on(check.run()),
         Command::Dev(dev) => dev.run(),
         Command::Settings => settings::run(),
         Command::Explain(explain) => block_on(explain.run()),
--- a/lib/src/admin.rs
+++ b/lib/src/admin.rs
@@ -73,7 +73,14 @@
             "/healthz" => text(StatusCode::OK, "ok\n".into()),
             "/readyz" => readiness(self.is_ready()),
             "/status" => json(&self.status(Instant::now())),
-            _ => text(StatusCode::NOT_FOUND, "try /metrics, /healthz, /readyz or /status\n".into()),
+            "/routing" => match self.routing() {
+                Some(routing) => json(&routing),
+                None => text(StatusCode::SERVICE_UNAVAILABLE, "no routing document yet\n".into()),
+            },
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "try /metrics, /healthz, /readyz, /status or /routing\n".into(),
+            ),
         }
     }
 }
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -35,7 +35,7 @@
     ReaderElection, StartDelays, FIRST_START_MAX_JITTER, FIRST_START_PULL_TIMEOUT,
     INITIAL_PULL_TIMEOUT, UNHEARD_READER_DELAY, UNHEARD_READER_MAX_JITTER,
 };
-use crate::route::Part;
+use crate::route::{Part, Routing};
 use crate::segment::{Segment, SegmentFormat};
 use crate::settings::Settings;
 use crate::store_version::Era;
@@ -221,6 +221,13 @@
         self.directory_state.lock().directory.is_complete()
     }
 
+    /// Returns the routing document in force, or `None` before the first.
+    pub fn routing(&self) -> Option<Routing> {
+        self.with_directory(|directory| {
+            Routing::from_records(directory.records(Part::Routing).map(|(_, body)| body))
+        })
+    }
+
     /// Returns the status of the instance for operators, as JSON.
     pub fn status(&self, now: Instant) -> serde_json::Value {
         let view = self.view();
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -19,7 +19,8 @@
 use crate::collections::HashSet;
 use crate::ids::Version;
 use crate::route::{
-    is_removed, DirectoryRecord, Part, RecordBody, RegistrationState, ROUTING_VERSION_RECORD,
+    is_older_document, is_removed, DirectoryRecord, Part, RecordBody, RegistrationState,
+    ROUTING_VERSION_RECORD,
 };
 use crate::store_version::{self, Era};
 
@@ -112,7 +113,7 @@
     /// restored store may list it.
     pub fn is_older_routing<'a>(&self, mut bodies: impl Iterator<Item = &'a RecordBody>) -> bool {
         let Some(current) = self.routing_version() else { return false };
-        bodies.any(|body| matches!(body, RecordBody::RoutingVersion(version) if *version < current))
+        bodies.any(|body| matches!(body, RecordBody::RoutingVersion(it) if is_older_document(*it, current)))
     }
 
     /// Returns the time as of which a part was last known to match the store, or `None` before its
--- a/lib/src/directory_reader.rs
+++ b/lib/src/directory_reader.rs
@@ -13,7 +13,8 @@
 use crate::log_message::{FOLLOWING, HISTORY_GONE, STORE_LOST, YIELDED};
 use crate::metrics::Metrics;
 use crate::platform::{Listing, Object, Platform, PlatformError};
-use crate::route::{DirectoryRecord, Part, RecordBody, Registration, Routing};
+use crate::route::{DirectoryRecord, Part, RecordBody, Registration};
+use crate::routing_document;
 use crate::store_version::DisplayVersion;
 
 /// Time for which a watch waits for a change. A half-open connection is detected after this time.
@@ -265,9 +266,9 @@
     for object in listing.objects {
         if part == Part::Routing {
             let Some(body) = object.body else { continue };
-            let routing: Routing = serde_json::from_value(body).map_err(invalid_response)?;
+            let decoded = routing_document::decode(&body).map_err(invalid_response)?;
             let version = object.version;
-            let named = routing.into_records().into_iter();
+            let named = decoded.routing.into_records().into_iter();
             records.extend(named.map(|(name, body)| (name, version, body)));
         } else if let Some(body) = object_body(part, &object)? {
             records.push((object.name, object.version, body));
--- a/lib/src/http_platform.rs
+++ b/lib/src/http_platform.rs
@@ -25,7 +25,11 @@
 }
 
 inventory::submit! {
-    PlatformPlugin { name: "http", create: |url| std::sync::Arc::new(HttpPlatform::new(url)) }
+    PlatformPlugin {
+        name: "http",
+        create: |url| std::sync::Arc::new(HttpPlatform::new(url)),
+        decode_routing: crate::routing_document::decode,
+    }
 }
 
 #[derive(Deserialize)]
--- a/lib/src/plugin.rs
+++ b/lib/src/plugin.rs
@@ -7,6 +7,7 @@
 
 use crate::default_table::{Picker, PickerPlugin};
 use crate::platform::Platform;
+use crate::routing_document::RoutingDecoder;
 use crate::segment::{SegmentFormat, SegmentFormatPlugin};
 
 /// A platform client in the registry.
@@ -15,6 +16,8 @@
     pub name: &'static str,
     /// Creates a client of the API at a base URL.
     pub create: fn(&str) -> Arc<dyn Platform>,
+    /// Decodes a routing document as the operator writes it to the platform.
+    pub decode_routing: RoutingDecoder,
 }
 
 inventory::collect!(PlatformPlugin);
@@ -88,9 +91,22 @@
 ///
 /// Returns [`PluginError::UnknownPlatform`] if no client has that name.
 pub fn platform(name: &str, url: &str) -> Result<Arc<dyn Platform>, PluginError> {
+    Ok((platform_plugin(name)?.create)(url))
+}
+
+/// Returns the decoder of routing documents that the client named `name` uses.
+///
+/// # Errors
+///
+/// Returns [`PluginError::UnknownPlatform`] if no client has that name.
+pub fn routing_decoder(name: &str) -> Result<RoutingDecoder, PluginError> {
+    Ok(platform_plugin(name)?.decode_routing)
+}
+
+fn platform_plugin(name: &str) -> Result<&'static PlatformPlugin, PluginError> {
     let found = inventory::iter::<PlatformPlugin>.into_iter().find(|plugin| plugin.name == name);
     match found {
-        Some(plugin) => Ok((plugin.create)(url)),
+        Some(plugin) => Ok(plugin),
         None => {
             let known = inventory::iter::<PlatformPlugin>.into_iter().map(|plugin| plugin.name);
             Err(PluginError::UnknownPlatform { name: name.into(), known: join_names(known) })
--- a/lib/src/route.rs
+++ b/lib/src/route.rs
@@ -215,7 +215,31 @@
 /// Name of the record that holds the version of the routing document.
 pub const ROUTING_VERSION_RECORD: &str = "version";
 
+/// Returns whether a routing document is older than the one in force, to which it then yields.
+pub fn is_older_document(version: u64, in_force: u64) -> bool {
+    version < in_force
+}
+
 impl Routing {
+    /// Returns the document that consists of `records`, or `None` if they have no version or no
+    /// limits. Inverse of [`Routing::into_records`], except that the order of the routes and of the
+    /// services is that of the records.
+    pub fn from_records<'a>(records: impl Iterator<Item = &'a RecordBody>) -> Option<Self> {
+        let (mut version, mut limits) = (None, None);
+        let (mut routes, mut services) = (Vec::new(), Vec::new());
+        for body in records {
+            match body {
+                RecordBody::RoutingVersion(number) => version = Some(*number),
+                RecordBody::Limits(found) => limits = Some(found.clone()),
+                RecordBody::AimedRoute(route) => routes.push(route.clone()),
+                RecordBody::Route(route) => routes.push(route.clone().into()),
+                RecordBody::Service(service) => services.push(service.clone()),
+                RecordBody::Registration(_) | RecordBody::Outage => {}
+            }
+        }
+        Some(Self { version: version?, routes, services, limits: limits? })
+    }
+
     /// Splits the document into named records: one for each route, one for each service, one for
     /// the version, and one for the limits.
     pub fn into_records(self) -> Vec<(SmolStr, RecordBody)> {
