routing_check: problems of the sound entries of a refused document; check-routing prints findings without a reference

Cause: a document that instances refuse hid the problems of its other entries until the next run, and an instance that gave no answer hid all findings. Change: the check decodes the document again without the faulty routes and services; positions count in the whole document. The command prints its findings before it reports that there is nothing to compare with. Output goes through a buffer.

--- a/cli/src/commands/check_routing.rs
+++ b/cli/src/commands/check_routing.rs
@@ -1,5 +1,6 @@
 //! `hollyhead check-routing`: checks a routing document before the operator sends it.
 
+use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,7 +11,7 @@
 use hollyhead::json_position::{JsonPosition, JsonPositions};
 use hollyhead::plugin;
 use hollyhead::route::Routing;
-use hollyhead::routing_check::{self, Finding, Severity};
+use hollyhead::routing_check::{self, Finding, Problem, Severity};
 use hollyhead::routing_diff::RoutingDiff;
 use hollyhead::routing_document::{
     RoutingDecoder, RoutingEntry, LIMITS_FIELD, ROUTES_FIELD, SERVICES_FIELD, VERSION_FIELD,
@@ -73,12 +74,8 @@
 impl CheckRouting {
     /// Prints the findings and the differences.
     pub async fn run(&self) -> Result<ExitCode> {
-        match self.report().await {
-            Ok(report) => {
-                self.print(&report)?;
-                let is_clean = report.findings.is_empty();
-                Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
-            }
+        match self.check().await {
+            Ok(code) => Ok(code),
             Err(err) => {
                 eprintln!("hollyhead: {err:#}");
                 Ok(ExitCode::from(INVALID_INPUT))
@@ -86,29 +83,34 @@
         }
     }
 
-    async fn report(&self) -> Result<Report> {
+    async fn check(&self) -> Result<ExitCode> {
         let decode = plugin::routing_decoder(&self.api)?;
         let text = read(&self.file)?;
-        let (mut findings, routing) = check(&self.file, &text, decode)?;
-        let reference = self.reference(decode).await?;
-        let difference = routing.zip(reference);
-        let difference = difference.map(|(document, old)| RoutingDiff::new(&old, &document));
+        let (mut findings, routing) = decode_and_check(&self.file, &text, decode)?;
+        let reference = self.reference(decode).await;
+        let old = reference.as_ref().ok().and_then(Option::as_ref);
+        let difference = old.zip(routing).map(|(old, document)| RoutingDiff::new(old, &document));
         findings.extend(difference.as_ref().and_then(RoutingDiff::finding));
         let findings = reported(&findings, &JsonPositions::new(&text));
-        Ok(Report { file: self.file.clone(), findings, difference })
+        let is_clean = findings.is_empty();
+        self.print(&Report { file: self.file.clone(), findings, difference })?;
+        // The findings are printed also if there is nothing to compare the document with.
+        reference?;
+        Ok(if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE })
     }
 
+    /// Reads the document to compare with.
     async fn reference(&self, decode: RoutingDecoder) -> Result<Option<Routing>> {
         match &self.reference {
             None => Ok(None),
             Some(Reference::Against { against }) => {
-                let (findings, routing) = check(against, &read(against)?, decode)?;
-                match (routing, findings.first()) {
-                    (None, Some(Finding { entry, problem, .. })) => {
-                        bail!("{}: {entry}: {problem}", against.display())
-                    }
-                    (routing, _) => Ok(routing),
+                let (findings, routing) = decode_and_check(against, &read(against)?, decode)?;
+                let mut refusals =
+                    findings.iter().filter(|it| matches!(it.problem, Problem::Refused(_)));
+                if let Some(Finding { entry, problem, .. }) = refusals.next() {
+                    bail!("{}: {entry}: {problem}", against.display());
                 }
+                Ok(routing)
             }
             Some(Reference::InForce { in_force }) => {
                 let routing = admin_client::get(*in_force, ROUTING_PAGE).await;
@@ -117,50 +119,54 @@
         }
     }
 
+    /// Writes the report to standard output, through a buffer since it may be long.
     fn print(&self, report: &Report) -> Result<()> {
+        let mut out = BufWriter::new(std::io::stdout().lock());
         if self.json {
-            println!("{}", serde_json::to_string_pretty(report)?);
-            return Ok(());
-        }
-        if report.findings.is_empty() {
-            println!("{}: no findings", report.file.display());
-        }
-        print_findings(report);
-        if let Some(difference) = &report.difference {
-            print_difference(difference);
+            serde_json::to_writer_pretty(&mut out, report)?;
+            writeln!(out)?;
+        } else {
+            print_findings(&mut out, report)?;
+            if let Some(difference) = &report.difference {
+                print_difference(&mut out, difference)?;
+            }
         }
-        Ok(())
+        Ok(out.flush()?)
     }
 }
 
-/// Prints the findings, each entry quoted once, after its last finding.
-fn print_findings(report: &Report) {
+/// Writes the findings, each entry quoted once, after its last finding.
+fn print_findings(out: &mut impl Write, report: &Report) -> Result<()> {
     let file = report.file.display();
+    if report.findings.is_empty() {
+        writeln!(out, "{file}: no findings")?;
+    }
     let mut findings = report.findings.iter().peekable();
     while let Some(ReportedFinding { severity, entry, message, position }) = findings.next() {
         let Some(JsonPosition { line, column, quote }) = position else {
-            println!("{file}: {severity}: {entry}: {message}");
+            writeln!(out, "{file}: {severity}: {entry}: {message}")?;
             continue;
         };
-        println!("{file}:{line}:{column}: {severity}: {entry}: {message}");
+        writeln!(out, "{file}:{line}:{column}: {severity}: {entry}: {message}")?;
         if findings.peek().is_none_or(|next| next.position != *position) {
-            println!("    {quote}");
+            writeln!(out, "    {quote}")?;
         }
     }
+    Ok(())
 }
 
-fn print_difference(difference: &RoutingDiff) {
+fn print_difference(out: &mut impl Write, difference: &RoutingDiff) -> Result<()> {
     let RoutingDiff { version_in_force, version, differences, .. } = difference;
-    match differences.len() {
-        0 => println!("version {version} has the same contents as version {version_in_force}"),
-        1 => println!("1 difference of version {version} to version {version_in_force}:"),
-        count => {
-            println!("{count} differences of version {version} to version {version_in_force}:");
-        }
-    }
+    let comparison = match differences.len() {
+        0 => format!("version {version} has the same contents as version {version_in_force}"),
+        1 => format!("1 difference of version {version} to version {version_in_force}:"),
+        count => format!("{count} differences of version {version} to version {version_in_force}:"),
+    };
+    writeln!(out, "{comparison}")?;
     for difference in differences {
-        println!("  {difference}");
+        writeln!(out, "  {difference}")?;
     }
+    Ok(())
 }
 
 fn read(file: &Path) -> Result<String> {
@@ -168,7 +174,7 @@
 }
 
 /// Returns the findings on a document, and its routing unless instances refuse it.
-fn check(
+fn decode_and_check(
     file: &Path,
     text: &str,
     decode: RoutingDecoder,
--- a/lib/src/json_position.rs
+++ b/lib/src/json_position.rs
@@ -104,8 +104,11 @@
         while self.peek() == Some(b'"') {
             let key = self.skip_value();
             self.enter(b':');
+            self.peek();
+            let start = self.at;
             let elements = self.elements();
-            let value = self.skip_value();
+            self.skip_value();
+            let value = start..self.at;
             if let Ok(Value::String(key)) = serde_json::from_str(text.get(key).unwrap_or_default())
             {
                 fields.insert(key.into(), Field { value, elements });
@@ -117,20 +120,20 @@
         fields
     }
 
-    /// Returns the ranges of the elements of the array that begins here, without moving on; none if
-    /// there is no array.
-    fn elements(&self) -> Vec<Range<usize>> {
-        let mut scanner = Scanner { bytes: self.bytes, at: self.at };
+    /// Moves past the array that begins here, and returns the ranges of its elements; none if there
+    /// is no array.
+    fn elements(&mut self) -> Vec<Range<usize>> {
         let mut elements = Vec::new();
-        if !scanner.enter(b'[') {
+        if !self.enter(b'[') {
             return elements;
         }
-        while scanner.peek().is_some_and(|byte| byte != b']') {
-            elements.push(scanner.skip_value());
-            if !scanner.enter(b',') {
+        while self.peek().is_some_and(|byte| byte != b']') {
+            elements.push(self.skip_value());
+            if !self.enter(b',') {
                 break;
             }
         }
+        self.enter(b']');
         elements
     }
 
--- a/lib/src/routing_check.rs
+++ b/lib/src/routing_check.rs
@@ -15,7 +15,8 @@
 use crate::route::{DirectoryRecord, Part, Route, RoutedService, Routing};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::routing_document::{
-    DecodedRouting, EntryFault, RoutingDecoder, RoutingEntry, RoutingError,
+    DecodedRouting, EntryFault, RoutingDecoder, RoutingEntry, RoutingError, ROUTES_FIELD,
+    SERVICES_FIELD,
 };
 
 /// Version of the store that the replica of a checked document has.
@@ -184,11 +185,59 @@
             );
             (findings, Some(routing))
         }
-        Err(RoutingError { faults }) => {
-            let refused = |it: EntryFault| Finding::new(it.entry, Problem::Refused(it.reason));
-            (faults.into_iter().map(refused).collect(), None)
+        Err(RoutingError { faults }) => (check_refused(document, faults, decode, now), None),
+    }
+}
+
+/// Returns the findings on a document that instances refuse because of `faults`: the faults, and what
+/// is wrong with the other entries.
+fn check_refused(
+    document: &Value,
+    faults: Vec<EntryFault>,
+    decode: RoutingDecoder,
+    now: Instant,
+) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    if let Some(rest) = without(document, &faults) {
+        findings = check_document(&rest, decode, now).0;
+        restore_indices(&mut findings, &faults);
+        let faulty = service_names(&faults);
+        findings.retain(
+            |it| !matches!(&it.problem, Problem::UnlistedService(name) if faulty.contains(name)),
+        );
+    }
+    let refused = |it: EntryFault| Finding::new(it.entry, Problem::Refused(it.reason));
+    findings.extend(faults.into_iter().map(refused));
+    findings
+}
+
+/// Returns a document without its faulty routes and services, or `None` if something else is faulty,
+/// without which it cannot be decoded.
+fn without(document: &Value, faults: &[EntryFault]) -> Option<Value> {
+    let mut rest = document.clone();
+    // From the last entry to the first, so that the positions of the others stay.
+    for fault in faults.iter().rev() {
+        let (field, index) = match fault.entry {
+            RoutingEntry::Route { index, .. } => (ROUTES_FIELD, index),
+            RoutingEntry::Service { index, .. } => (SERVICES_FIELD, index),
+            RoutingEntry::Document | RoutingEntry::Version | RoutingEntry::Limits => return None,
+        };
+        let entries = rest.get_mut(field)?.as_array_mut()?;
+        if index >= entries.len() {
+            return None;
         }
+        entries.remove(index);
     }
+    Some(rest)
+}
+
+/// Returns the names of the faulty services, which routes may refer to all the same.
+fn service_names(faults: &[EntryFault]) -> HashSet<&ServiceId> {
+    let names = faults.iter().filter_map(|fault| match &fault.entry {
+        RoutingEntry::Service { name, .. } => Some(name),
+        _ => None,
+    });
+    names.collect()
 }
 
 /// Returns all findings on a routing document. The entries of the findings have the positions of the
@@ -299,18 +348,33 @@
     counts.into_iter().filter(|(_, count)| *count > 1).map(|(name, _)| name).collect()
 }
 
-/// Changes the positions of routes in the routing into positions in the document, which also has the
-/// skipped routes.
-fn restore_indices(findings: &mut [Finding], skipped: &[EntryFault]) {
-    let indices = skipped.iter().filter_map(|fault| match fault.entry {
-        RoutingEntry::Route { index, .. } => Some(index),
+/// Changes the positions of entries in a document without those of `left_out` into positions in the
+/// whole document.
+fn restore_indices(findings: &mut [Finding], left_out: &[EntryFault]) {
+    let routes = kept_before(left_out, |entry| match entry {
+        RoutingEntry::Route { index, .. } => Some(*index),
+        _ => None,
+    });
+    let services = kept_before(left_out, |entry| match entry {
+        RoutingEntry::Service { index, .. } => Some(*index),
         _ => None,
     });
-    // Number of the routing's routes that precede each skipped route in the document.
-    let kept_before: Vec<_> = indices.enumerate().map(|(count, index)| index - count).collect();
     for finding in findings {
-        if let RoutingEntry::Route { index, .. } = &mut finding.entry {
-            *index += kept_before.partition_point(|kept| *kept <= *index);
-        }
+        let (index, kept_before) = match &mut finding.entry {
+            RoutingEntry::Route { index, .. } => (index, &routes),
+            RoutingEntry::Service { index, .. } => (index, &services),
+            RoutingEntry::Document | RoutingEntry::Version | RoutingEntry::Limits => continue,
+        };
+        *index += kept_before.partition_point(|kept| *kept <= *index);
     }
 }
+
+/// Returns, for each entry that is left out, the number of kept entries that precede it. `index`
+/// returns the position of an entry, or `None` for entries of another kind.
+fn kept_before(
+    left_out: &[EntryFault],
+    index: impl Fn(&RoutingEntry) -> Option<usize>,
+) -> Vec<usize> {
+    let indices = left_out.iter().filter_map(|fault| index(&fault.entry));
+    indices.enumerate().map(|(count, index)| index.saturating_sub(count)).collect()
+}
--- a/lib/src/routing_document.rs
+++ b/lib/src/routing_document.rs
@@ -70,7 +70,8 @@
 
     /// Reason why a whole document is refused.
     pub struct RoutingError {
-        /// Faults of all entries; at least one.
+        /// Faults of all entries, those of routes and of services in the order of the document; at
+        /// least one.
         pub faults: Vec<EntryFault>,
     }
 }
