--- a/lib/src/json_position.rs
+++ b/lib/src/json_position.rs
@@ -94,8 +94,8 @@
 }
 
 impl Scanner<'_> {
-    /// Scans the object that the text consists of. Of fields with the same name, the last one counts,
-    /// as it does for the parser.
+    /// Scans the object that the text consists of. Of fields with the same name, the last one
+    /// counts, as it does for the parser.
     fn document(&mut self, text: &str) -> HashMap<SmolStr, Field> {
         let mut fields = HashMap::default();
         if !self.enter(b'{') {
--- a/lib/src/routing_check.rs
+++ b/lib/src/routing_check.rs
@@ -189,8 +189,8 @@
     }
 }
 
-/// Returns the findings on a document that instances refuse because of `faults`: the faults, and what
-/// is wrong with the other entries.
+/// Returns the findings on a document that instances refuse because of `faults`: the faults, and the
+/// problems of the other entries.
 fn check_refused(
     document: &Value,
     faults: Vec<EntryFault>,
@@ -202,9 +202,10 @@
         findings = check_document(&rest, decode, now).0;
         restore_indices(&mut findings, &faults);
         let faulty = service_names(&faults);
-        findings.retain(
-            |it| !matches!(&it.problem, Problem::UnlistedService(name) if faulty.contains(name)),
-        );
+        findings.retain(|finding| match &finding.problem {
+            Problem::UnlistedService(name) => !faulty.contains(name),
+            _ => true,
+        });
     }
     let refused = |it: EntryFault| Finding::new(it.entry, Problem::Refused(it.reason));
     findings.extend(faults.into_iter().map(refused));
@@ -214,6 +215,9 @@
 /// Returns a document without its faulty routes and services, or `None` if something else is faulty,
 /// without which it cannot be decoded.
 fn without(document: &Value, faults: &[EntryFault]) -> Option<Value> {
+    if faults.is_empty() {
+        return None;
+    }
     let mut rest = document.clone();
     // From the last entry to the first, so that the positions of the others stay.
     for fault in faults.iter().rev() {
