ended_target, reset_queue, waiting_flows: callers that wait for an ended target are reset

Cause: a caller that has sent its whole request sends nothing that could be answered with a reset, and waits for its deadline although its target has ended. Change: the tracker keeps the waiting flows by target with the caller's last acknowledgement. Once a target has ended for certain (address reassigned, started again, connections refused and witnessed by a second instance), the flows on idempotent routes are reset, paced, the longest wait first. Packets dropped for data centres out of service are counted by service and data centre.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -4,6 +4,7 @@
 //! a flow requires a choice of target. Retransmissions of the opening packet, and the packets that
 //! follow it, show whether the target answers.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,15 +17,18 @@
 use crate::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
 use crate::directory::Directory;
 use crate::directory_message::TargetCondition;
+use crate::ended_target::{end_cause, EndedTarget};
 use crate::flow::{FlowHasher, FlowKey, Protocol};
 use crate::flow_tracker::{AnswerTime, FlowTracker};
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, FlowHash, InstanceId, ServiceId, TargetId};
 use crate::log_message::CONDITION;
+use crate::outage_losses::{OutageLoss, OutageLosses};
+use crate::reset_queue::{QueuedReset, ResetQueue};
 use crate::room::ServiceRoom;
-use crate::route::{Part, RecordBody};
+use crate::route::{Part, RecordBody, Registration};
 use crate::route_table::{RouteLookup, RouteTable};
-use crate::segment::Segment;
+use crate::segment::{Control, FlowEnds, Segment};
 use crate::target_choice::TargetChoice;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
 use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
@@ -45,6 +49,8 @@
 /// longer checked. Its open flows need the confirmation that it is down, and nothing waits for its
 /// recovery.
 pub const MAX_CHECKS_WITHOUT_NEW_FLOWS: u32 = 4;
+/// Number of health checks that one change of registrations may request for targets that are gone.
+const MAX_GONE_CHECKS: usize = 32;
 /// Cold time of a service that the routing does not list.
 const DEFAULT_COLD_TIME: Duration = Duration::from_secs(2);
 
@@ -107,6 +113,11 @@
     condition_changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
     registration_changes: Vec<(TargetId, RegistrationChange)>,
+    resets: ResetQueue,
+    /// Targets whose refusal of connections is certain and whose waiting flows are queued.
+    refusing: BTreeSet<usize>,
+    ended: Vec<EndedTarget>,
+    outage_losses: OutageLosses,
 }
 
 impl CookieForwarder {
@@ -124,6 +135,10 @@
             condition_changes: Vec::new(),
             timings: Vec::new(),
             registration_changes: Vec::new(),
+            resets: ResetQueue::default(),
+            refusing: BTreeSet::new(),
+            ended: Vec::new(),
+            outage_losses: OutageLosses::default(),
         }
     }
 
@@ -170,8 +185,12 @@
                     }
                 }
                 self.update_outages(directory, now);
+                self.check_gone_targets(now);
+            }
+            Part::Outages => {
+                self.update_outages(directory, now);
+                self.outage_losses.forget_flows();
             }
-            Part::Outages => self.update_outages(directory, now),
         }
     }
 
@@ -201,8 +220,13 @@
             self.targets.health_mut(target).record_failure(now);
         }
         self.watch.expire(now, OPENING_RETENTION);
+        for index in self.targets.take_ended() {
+            self.queue_resets(index);
+        }
         let mut checks = Vec::new();
-        for index in self.targets.unsettled() {
+        let unsettled = self.targets.unsettled();
+        self.queue_resets_of_refusing(&unsettled);
+        for index in unsettled {
             let is_checked = is_worth_checking(self.targets.get(index));
             let health = self.targets.health_mut(index);
             health.expire_report(now);
@@ -218,6 +242,46 @@
         checks
     }
 
+    /// Returns the resets that are due, as segments of the waiting callers to respond to. At most as
+    /// many are due as the rate of resets allows.
+    pub fn take_due_resets(&mut self, now: Instant) -> Vec<Segment> {
+        let mut due = Vec::new();
+        while let Some(queued) = self.resets.pop(now) {
+            // The caller may have got its answer or closed the flow since the reset was queued, and
+            // the target may have come back.
+            let waiting = self.watch.waiting().get(&queued.ends);
+            let still = waiting
+                .filter(|flow| (flow.since, flow.target) == (queued.since, queued.target))
+                .filter(|flow| end_cause(self.targets.get(flow.target), flow.opened_at).is_some());
+            let Some(ack) = still.map(|flow| flow.ack) else { continue };
+            self.watch.close(&queued.ends);
+            self.resets.record_sent();
+            let control = Control { acknowledges: true, ..Control::default() };
+            due.push(Segment { ends: queued.ends, control, seq: 0, ack, data_len: 0, cookie: 0 });
+        }
+        due
+    }
+
+    /// Returns the targets that have ended while callers waited for them, since the last call.
+    pub fn take_ended(&mut self) -> Vec<EndedTarget> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns the packets dropped because of data centres out of service, since the last report.
+    pub fn take_outage_losses(&mut self, now: Instant) -> Vec<OutageLoss> {
+        self.outage_losses.take_report(now)
+    }
+
+    /// Sets the time at which the store last confirmed the registrations; `None` if it never has.
+    pub fn set_targets_confirmed(&mut self, at: Option<Instant>) {
+        self.targets.set_confirmed(at);
+    }
+
+    /// Sets the speed of the instance's link, which limits the rate of resets.
+    pub fn set_link_mbps(&mut self, link_mbps: f64) {
+        self.resets.set_link_mbps(link_mbps);
+    }
+
     /// Replaces the limit on new flows to cold targets and the outage bound.
     pub fn set_bounds(&mut self, cold_start_limit: ColdStartLimit, outage_bound: Duration) {
         self.setup.cold_start_limit = cold_start_limit;
@@ -264,18 +328,23 @@
         let target_data_centre = &self.targets.get(index).registration.data_centre;
         let is_local_target = *target_data_centre == self.setup.data_centre;
         let is_trusted = is_own_data_centre || from.data_centre == *target_data_centre;
+        let is_in_target_data_centre = from.data_centre == *target_data_centre;
+        if condition == TargetCondition::Down && (is_local_target || is_in_target_data_centre) {
+            self.targets.health_mut(index).witness_down(now);
+        }
         if !is_trusted {
             if is_local_target && condition == TargetCondition::Down {
                 self.targets.health_mut(index).confirm_own_finding(now);
             }
             return;
         }
+        let has_waiting_callers = self.has_repeatable_waiting(index);
         let health = self.targets.health_mut(index);
         let finding = match condition {
             TargetCondition::Down => health.on_down_report(now),
             TargetCondition::Up => health.on_up_report(),
         };
-        if is_verifier {
+        if is_verifier || has_waiting_callers {
             health.verify_report(now);
         }
         self.apply_finding(index, finding, now, false);
@@ -311,6 +380,61 @@
         self.targets.set_outages(|data_centre| out.contains(data_centre), now);
     }
 
+    /// Has those targets checked whose registration is gone and for which callers wait. A
+    /// registration also lapses if the target cannot reach the store, so it alone proves nothing.
+    fn check_gone_targets(&mut self, now: Instant) {
+        let is_gone = |(_, change): &&(TargetId, RegistrationChange)| {
+            *change == RegistrationChange::Gone
+        };
+        let gone = self.registration_changes.iter().filter(is_gone);
+        let gone = gone.filter_map(|(target, _)| self.targets.index(target));
+        let awaited = gone.filter(|index| self.has_repeatable_waiting(*index));
+        let awaited: Vec<_> = awaited.take(MAX_GONE_CHECKS).collect();
+        for index in awaited {
+            self.targets.health_mut(index).request_check(now);
+        }
+    }
+
+    /// Queues resets for targets that have begun to refuse connections for certain. Once they are
+    /// queued, further packets of the target's flows are reset when they arrive.
+    fn queue_resets_of_refusing(&mut self, unsettled: &[usize]) {
+        let is_refusing = |index: &usize| self.targets.get(*index).health().refused_since().is_some();
+        let refusing: BTreeSet<_> = unsettled.iter().copied().filter(is_refusing).collect();
+        let former = std::mem::replace(&mut self.refusing, refusing.clone());
+        for index in refusing.difference(&former) {
+            self.queue_resets(*index);
+        }
+    }
+
+    /// Queues resets for the flows that wait for a target which has ended.
+    fn queue_resets(&mut self, index: usize) {
+        let entry = self.targets.get(index);
+        let (mut cause, mut resets, mut kept) = (None, 0, 0);
+        for (ends, flow) in self.watch.waiting().of_target(index) {
+            let Some(found) = end_cause(entry, flow.opened_at) else { continue };
+            cause.get_or_insert(found);
+            if self.is_repeatable(ends) {
+                resets += 1;
+                self.resets.push(QueuedReset { ends: *ends, since: flow.since, target: index });
+            } else {
+                kept += 1;
+            }
+        }
+        let target = entry.registration.target.clone();
+        self.ended.extend(cause.map(|cause| EndedTarget { target, cause, resets, kept }));
+    }
+
+    /// Returns whether a caller that can repeat its request waits for a target.
+    fn has_repeatable_waiting(&self, index: usize) -> bool {
+        self.watch.waiting().of_target(index).any(|(ends, _)| self.is_repeatable(ends))
+    }
+
+    /// Returns whether the caller of a flow can repeat its request at another target.
+    fn is_repeatable(&self, ends: &FlowEnds) -> bool {
+        let found = self.routes.lookup(&ends.service);
+        matches!(found, RouteLookup::Route(entry) if entry.route.is_idempotent)
+    }
+
     fn open_flow(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
         let service = match self.routes.lookup(&segment.ends.service) {
             RouteLookup::Route(entry) => entry.select_service(self.hash(segment)).cloned(),
@@ -386,6 +510,8 @@
         }
         let outage_grace = self.setup.outage_bound.saturating_sub(OUTAGE_MARGIN);
         if !target.carries_open(now, outage_grace) {
+            let Registration { data_centre, service, .. } = &target.registration;
+            self.outage_losses.record(data_centre, service, segment.ends);
             return CookieVerdict::Drop(DropReason::Outage);
         }
         if segment.data_len > 0 && entry.route.is_idempotent && target.health().is_confirmed_down()
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -14,7 +14,7 @@
 use crate::byte_budget::ByteBudget;
 use crate::cold_start_limit::ColdStartLimit;
 use crate::cookie_forwarder::{CookieForwarder, CookieForwarderSetup, DueCheck, FlowTiming};
-use crate::cookie_verdict::{CookieVerdict, DropReason};
+use crate::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
 use crate::directory::Directory;
 use crate::directory_replication::DirectoryReplication;
 use crate::directory_state::DirectoryState;
@@ -25,8 +25,9 @@
 use crate::ids::{DataCentreId, Epoch, InstanceId};
 use crate::instance_peers::BroadcastTree;
 use crate::logging;
-use crate::metrics::{Metrics, PartLabel};
+use crate::metrics::{Metrics, OutageLabel, PartLabel};
 use crate::network::Network;
+use crate::outage_losses::OutageLoss;
 use crate::packet_hold::PacketHold;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
@@ -138,6 +139,8 @@
             purged_at: None,
         };
         let metrics = Metrics::new();
+        let mut forwarder = CookieForwarder::new(setup.forwarder);
+        forwarder.set_link_mbps(setup.link_mbps);
         let link = PeerLink::new(PeerLinkSetup {
             id: id.clone(),
             epoch: setup.epoch,
@@ -158,7 +161,7 @@
             flow_network: setup.flow_network,
             gossip: Mutex::new(gossip),
             directory_state: Mutex::new(directory_state),
-            forwarder: Mutex::new(CookieForwarder::new(setup.forwarder)),
+            forwarder: Mutex::new(forwarder),
             held_packets: Mutex::new(Some(PacketHold::default())),
             latest_era: Mutex::new(None),
             first_start_until: setup.is_first_start.then(|| now + FIRST_START_TIME),
@@ -203,7 +206,11 @@
 
     /// Applies those changed settings that can change without a restart.
     pub fn reload(&self, settings: &Settings) {
-        self.forwarder.lock().set_bounds(cold_start_limit(settings), settings.outage_bound);
+        {
+            let mut forwarder = self.forwarder.lock();
+            forwarder.set_bounds(cold_start_limit(settings), settings.outage_bound);
+            forwarder.set_link_mbps(settings.link_mbps);
+        }
         self.link.set_link_mbps(settings.link_mbps);
     }
 
@@ -350,6 +357,8 @@
         {
             let forwarder = self.forwarder.lock();
             metrics.flows.set(forwarder.watch().len() as i64);
+            metrics.waiting_flows.set(forwarder.watch().waiting().len() as i64);
+            metrics.untracked_packets.set(forwarder.watch().untracked_packets() as i64);
             metrics.targets_down.set(forwarder.count_down_targets() as i64);
         }
         metrics.members.set(self.view().members().len() as i64);
@@ -362,17 +371,19 @@
         let outgoing = self.gossip.lock().tick(now);
         self.send_gossip(outgoing);
         let view = self.view();
-        let confirmed = {
+        let [routing_confirmed, targets_confirmed] = {
             let mut directory_state = self.directory_state.lock();
             directory_state.purge(now);
-            directory_state.directory.confirmed_at(Part::Routing)
+            [Part::Routing, Part::Targets].map(|part| directory_state.directory.confirmed_at(part))
         };
         let checks = {
             let mut forwarder = self.forwarder.lock();
             forwarder.set_view(view);
-            forwarder.set_routing_confirmed(confirmed);
+            forwarder.set_routing_confirmed(routing_confirmed);
+            forwarder.set_targets_confirmed(targets_confirmed);
             forwarder.tick(now)
         };
+        self.reset_waiting_flows(now);
         self.announce_condition_changes();
         self.send_heartbeat(now);
         self.send_repair_requests(now);
@@ -386,6 +397,35 @@
         checks
     }
 
+    /// Sends the resets that are due to callers that wait for a target which has ended, and reports
+    /// what gets no response.
+    fn reset_waiting_flows(&self, now: Instant) {
+        let (resets, ended, losses) = {
+            let mut forwarder = self.forwarder.lock();
+            let resets = forwarder.take_due_resets(now);
+            (resets, forwarder.take_ended(), forwarder.take_outage_losses(now))
+        };
+        self.log.log_ended(&ended, now);
+        self.log.log_outage_losses(&losses, now);
+        self.count_outage_losses(&losses);
+        let mut out = Vec::new();
+        for segment in &resets {
+            self.send_reset(segment, &mut out);
+            Metrics::count(&self.metrics.packets, ResetReason::WaitingForEnded.label());
+        }
+    }
+
+    fn count_outage_losses(&self, losses: &[OutageLoss]) {
+        for loss in losses {
+            let label = OutageLabel {
+                data_centre: loss.data_centre.to_string(),
+                service: loss.service.to_string(),
+            };
+            self.metrics.outage_packets.get_or_create(&label).inc_by(loss.packets);
+            self.metrics.outage_flows.get_or_create(&label).inc_by(loss.flows);
+        }
+    }
+
     /// Records the outcome of a health check, and reports a changed condition to other instances.
     pub fn on_check(&self, target: &str, outcome: CheckOutcome, now: Instant) {
         self.forwarder.lock().on_check(target, outcome, now);
--- a/lib/src/cookie_verdict.rs
+++ b/lib/src/cookie_verdict.rs
@@ -48,6 +48,9 @@
     /// The flow's target has ended, since its address belongs to a target that started later. No
     /// request of the flow can be answered any more.
     TargetEnded,
+    /// The flow's caller waits for a target that has ended for certain (see
+    /// [`crate::ended_target`]), and can repeat the request at another target.
+    WaitingForEnded,
 }
 
 impl ResetReason {
@@ -59,6 +62,7 @@
             ResetReason::NoTarget => "no_target",
             ResetReason::TargetDown => "target_down",
             ResetReason::TargetEnded => "target_ended",
+            ResetReason::WaitingForEnded => "waiting_for_ended",
         }
     }
 }
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -8,7 +8,9 @@
 use crate::decision_log::DecisionLogLimit;
 use crate::directory::Directory;
 use crate::ids::TargetId;
-use crate::log_message::{DECISION, OUTAGES, REGISTRATION, ROUTING};
+use crate::ended_target::EndedTarget;
+use crate::log_message::{DECISION, ENDED, OUTAGES, OUTAGE_LOSSES, REGISTRATION, ROUTING};
+use crate::outage_losses::OutageLoss;
 use crate::route::Part;
 use crate::segment::Segment;
 use crate::target_table::RegistrationChange;
@@ -50,6 +52,27 @@
         );
     }
 
+    /// Logs the targets that have ended while callers waited for them.
+    pub fn log_ended(&self, ended: &[EndedTarget], now: Instant) {
+        for EndedTarget { target, cause, resets, kept } in ended {
+            let cause = cause.label();
+            let Some(left_out) = self.limit.allow(cause, now) else { continue };
+            log::info!(target = target.as_str(), cause, resets, kept, left_out; "{ENDED}");
+        }
+    }
+
+    /// Logs the packets that were dropped because of data centres out of service.
+    pub fn log_outage_losses(&self, losses: &[OutageLoss], now: Instant) {
+        for OutageLoss { data_centre, service, packets, flows } in losses {
+            let Some(left_out) = self.limit.allow("outage_losses", now) else { continue };
+            log::info!(
+                data_centre = data_centre.as_str(), service = service.as_str(), packets, flows,
+                left_out;
+                "{OUTAGE_LOSSES}"
+            );
+        }
+    }
+
     /// Logs the change of a part of the directory after the forwarder has applied it.
     pub fn log_directory_update(
         &self,
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -11,6 +11,7 @@
 
 use crate::collections::HashMap;
 use crate::segment::{FlowEnds, Segment};
+use crate::waiting_flows::{WaitingFlow, WaitingFlows};
 
 /// Maximum number of tracked flows; packets of further flows are forwarded without tracking.
 pub const MAX_TRACKED_FLOWS: usize = 100_000;
@@ -39,6 +40,8 @@
 #[derive(Clone, Debug)]
 struct OpenFlow {
     target: usize,
+    /// Time of the first packet that this instance saw.
+    first_seen: Instant,
     last_seen: Instant,
     next_seq: u32,
     /// Time at which the caller last sent new data.
@@ -90,9 +93,22 @@
     open: HashMap<FlowEnds, OpenFlow>,
     /// Number of running requests by target index.
     running: HashMap<usize, u32>,
+    waiting: WaitingFlows,
+    untracked_packets: u64,
 }
 
 impl FlowTracker {
+    /// Returns the flows whose callers wait for an answer.
+    pub fn waiting(&self) -> &WaitingFlows {
+        &self.waiting
+    }
+
+    /// Returns the number of packets of open flows that were not recorded, since
+    /// [`MAX_TRACKED_FLOWS`] other flows were.
+    pub fn untracked_packets(&self) -> u64 {
+        self.untracked_packets
+    }
+
     /// Returns the flow between `ends` if it is half-open.
     pub fn half_open(&self, ends: &FlowEnds) -> Option<&HalfOpenFlow> {
         self.half_open.get(ends)
@@ -106,6 +122,11 @@
         flow.target = target;
         flow.last_sent_at = now;
         flow.is_timed_out = false;
+        // The caller has closed the earlier flow of these ends, if there was one.
+        self.waiting.end(&ends);
+        if let Some(earlier) = self.open.get_mut(&ends) {
+            earlier.first_seen = now;
+        }
     }
 
     /// Returns the estimated number of requests that run at a target through this instance.
@@ -136,9 +157,13 @@
         let is_full = self.open.len() >= MAX_TRACKED_FLOWS;
         let flow = match self.open.entry(segment.ends) {
             Entry::Occupied(entry) => entry.into_mut(),
-            Entry::Vacant(_) if is_full => return seen,
+            Entry::Vacant(_) if is_full => {
+                self.untracked_packets += 1;
+                return seen;
+            }
             Entry::Vacant(entry) => entry.insert(OpenFlow {
                 target,
+                first_seen: now,
                 last_seen: now,
                 next_seq: segment.seq,
                 last_new_data_at: now,
@@ -154,6 +179,7 @@
         if is_before(flow.last_ack, segment.ack) {
             seen.is_progress = true;
             flow.last_ack = segment.ack;
+            self.waiting.end(&segment.ends);
             if let Some(since) = flow.running_since.take() {
                 seen.answer = Some(AnswerTime {
                     target: flow.target,
@@ -169,6 +195,10 @@
             if flow.running_since.replace(now).is_none() {
                 *self.running.entry(flow.target).or_default() += 1;
             }
+            // Another target than before shows that the ends were used for a new flow.
+            let opened_at = if flow.target == target { flow.first_seen } else { now };
+            let waiting = WaitingFlow { target, since: now, opened_at, ack: flow.last_ack };
+            self.waiting.start(segment.ends, waiting);
         }
         seen
     }
@@ -198,7 +228,14 @@
                 decrement(running, flow.target);
             }
         }
-        self.open.retain(|_, flow| now < flow.last_seen + IDLE_TIMEOUT);
+        let waiting = &mut self.waiting;
+        self.open.retain(|ends, flow| {
+            let is_kept = now < flow.last_seen + IDLE_TIMEOUT;
+            if !is_kept {
+                waiting.end(ends);
+            }
+            is_kept
+        });
     }
 
     /// Returns the number of open flows that are tracked.
@@ -213,6 +250,7 @@
 
     /// Stops tracking a flow.
     pub fn close(&mut self, ends: &FlowEnds) {
+        self.waiting.end(ends);
         if let Some(flow) = self.open.remove(ends) {
             if flow.running_since.is_some() {
                 decrement(&mut self.running, flow.target);
--- a/lib/src/health_check.rs
+++ b/lib/src/health_check.rs
@@ -1,5 +1,6 @@
 //! Active health check of a target over HTTP, made only when the target is suspected or down.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,23 +24,25 @@
     Unwilling,
     /// The target accepted the connection and did not respond within [`RESPONSE_TIMEOUT`].
     Busy,
-    /// The connection was refused, reset, or closed without a valid response.
+    /// The target's host refused the connection, since no process listens at the address.
     Refused,
-    /// The connection was not established within [`CONNECT_TIMEOUT`].
+    /// The connection was not established within [`CONNECT_TIMEOUT`], or failed otherwise.
     Silent,
+    /// The connection was accepted, and reset or closed without a valid response.
+    Aborted,
 }
 
 /// Requests `path` from a target and classifies the response.
 pub async fn check(address: SocketAddr, path: &str) -> CheckOutcome {
     let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(_)) => return CheckOutcome::Refused,
-        Err(_) => return CheckOutcome::Silent,
+        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => return CheckOutcome::Refused,
+        Ok(Err(_)) | Err(_) => return CheckOutcome::Silent,
     };
     match timeout(RESPONSE_TIMEOUT, request_status(&mut stream, address, path)).await {
         Ok(Some(200)) => CheckOutcome::Healthy,
         Ok(Some(_)) => CheckOutcome::Unwilling,
-        Ok(None) => CheckOutcome::Refused,
+        Ok(None) => CheckOutcome::Aborted,
         Err(_) => CheckOutcome::Busy,
     }
 }
--- a/lib/src/log_message.rs
+++ b/lib/src/log_message.rs
@@ -5,6 +5,10 @@
 pub const DECISION: &str = "decision on a flow";
 /// A target became responsive or unresponsive.
 pub const CONDITION: &str = "condition of a target changed";
+/// A target has ended while callers waited for it.
+pub const ENDED: &str = "target has ended with requests waiting";
+/// Packets to a data centre that is out of service were dropped.
+pub const OUTAGE_LOSSES: &str = "packets to a data centre out of service dropped";
 /// A health check of a target completed.
 pub const CHECKED: &str = "health of a target checked";
 /// A target's registration was added, changed or removed.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -27,6 +27,15 @@
     pub part: &'static str,
 }
 
+/// Labels of counters of packets and flows to a data centre that is out of service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutageLabel {
+    /// Data centre that is out of service.
+    pub data_centre: String,
+    /// Service of the targets.
+    pub service: String,
+}
+
 /// Metrics of an instance and the registry that exposes them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -65,6 +74,14 @@
     pub is_reading: Gauge,
     /// Number of log lines dropped because the log queue was full.
     pub log_lines_lost: Gauge,
+    /// Number of flows whose callers wait for an answer.
+    pub waiting_flows: Gauge,
+    /// Number of packets that were not tracked because too many flows were.
+    pub untracked_packets: Gauge,
+    /// Packets dropped because their target's data centre is out of service.
+    pub outage_packets: Family<OutageLabel, Counter>,
+    /// Flows that had a packet dropped for that reason.
+    pub outage_flows: Family<OutageLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -94,6 +111,10 @@
             targets_down: Gauge::default(),
             is_reading: Gauge::default(),
             log_lines_lost: Gauge::default(),
+            waiting_flows: Gauge::default(),
+            untracked_packets: Gauge::default(),
+            outage_packets: Family::default(),
+            outage_flows: Family::default(),
         };
         metrics.register();
         metrics
@@ -182,6 +203,31 @@
             "Log lines left out because nobody took them",
             self.log_lines_lost.clone(),
         );
+        self.register_waiting();
+    }
+
+    fn register_waiting(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "waiting_flows",
+            "Flows whose callers wait for an answer",
+            self.waiting_flows.clone(),
+        );
+        registry.register(
+            "untracked_packets",
+            "Packets of flows beyond the limit of tracked flows",
+            self.untracked_packets.clone(),
+        );
+        registry.register(
+            "outage_packets",
+            "Packets dropped because the data centre is out of service",
+            self.outage_packets.clone(),
+        );
+        registry.register(
+            "outage_flows",
+            "Flows with a packet dropped because the data centre is out of service",
+            self.outage_flows.clone(),
+        );
     }
 }
 
--- a/lib/src/target_health.rs
+++ b/lib/src/target_health.rs
@@ -74,6 +74,13 @@
     reported_at: Option<Instant>,
     next_check_at: Option<Instant>,
     is_checking: bool,
+    /// Number of consecutive checks, up to the last one, whose connection was refused.
+    refused_checks: u32,
+    /// Time of the first of these checks.
+    refused_since: Option<Instant>,
+    /// Time of the last report that the target is down from an instance which is not cut off from
+    /// the target together with this one.
+    witnessed_at: Option<Instant>,
 }
 
 impl TargetHealth {
@@ -118,6 +125,30 @@
         self.is_down() && self.failed_checks >= CONFIRM_DOWN_CHECKS && is_reported
     }
 
+    /// Returns the time since which the target's host refuses connections to it; `None` unless that
+    /// is certain. It is certain once [`CONFIRM_DOWN_CHECKS`] consecutive checks by this instance
+    /// were refused, no caller has shown progress since, and a witness reported the target down too
+    /// (see [`Self::witness_down`]).
+    pub fn refused_since(&self) -> Option<Instant> {
+        let refused_since = self.refused_since?;
+        let is_witnessed = self.witnessed_at.is_some_and(|at| at + REPORT_VALIDITY >= refused_since);
+        let is_refused = self.refused_checks >= CONFIRM_DOWN_CHECKS;
+        (is_refused && is_witnessed && self.is_confirmed_down()).then_some(refused_since)
+    }
+
+    /// Records that an instance which is not cut off from the target together with this one reported
+    /// the target down.
+    pub fn witness_down(&mut self, now: Instant) {
+        self.witnessed_at = Some(now);
+    }
+
+    /// Schedules an immediate health check, unless the target is down or a check is scheduled.
+    pub fn request_check(&mut self, now: Instant) {
+        if !self.is_down() {
+            self.next_check_at.get_or_insert(now);
+        }
+    }
+
     /// Returns the number of health checks that have failed since the last one that passed.
     pub fn failed_checks(&self) -> u32 {
         self.failed_checks
@@ -172,7 +203,15 @@
                 self.condition = Condition::Suspected { until: now + SUSPICION_TIMEOUT };
                 transition
             }
-            CheckOutcome::Refused | CheckOutcome::Silent => self.mark_down(now),
+            CheckOutcome::Refused => {
+                self.refused_checks = self.refused_checks.saturating_add(1);
+                self.refused_since.get_or_insert(now);
+                self.mark_down(now)
+            }
+            CheckOutcome::Aborted | CheckOutcome::Silent => {
+                self.forget_refusals();
+                self.mark_down(now)
+            }
         }
     }
 
@@ -225,7 +264,9 @@
         self.failed_checks = 0;
         self.first_failed_at = None;
         self.reported_at = None;
+        self.witnessed_at = None;
         self.next_check_at = None;
+        self.forget_refusals();
         if was_down {
             HealthTransition::Recovered
         } else {
@@ -233,6 +274,11 @@
         }
     }
 
+    fn forget_refusals(&mut self) {
+        self.refused_checks = 0;
+        self.refused_since = None;
+    }
+
     fn mark_down(&mut self, now: Instant) -> HealthTransition {
         let previous = self.condition;
         self.failed_checks = self.failed_checks.saturating_add(1);
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -10,6 +10,7 @@
 use crate::cold_start_limit::ColdFlowCounter;
 use crate::collections::HashMap;
 use crate::cookie::CookieHasher;
+use crate::ended_target::RESTART_DOUBT;
 use crate::ids::{Cookie, DataCentreId, InstanceId, ServiceId, TargetId};
 use crate::round_robin::{self, RoundRobin};
 use crate::route::{Registration, RegistrationState};
@@ -41,6 +42,9 @@
     /// Whether the target's address belongs to a target that started later, which shows that this
     /// one has ended.
     pub has_ended: bool,
+    /// Time before which the target certainly had not started again under its name; `None` unless it
+    /// did.
+    pub restarted_after: Option<Instant>,
     /// Whether another target already had the cookie when this one was inserted.
     has_cookie_collision: bool,
 }
@@ -142,6 +146,10 @@
     rounds: HashMap<ServiceId, RoundRobin>,
     /// Targets whose health may change with time.
     unsettled: BTreeSet<usize>,
+    /// Targets that have ended since the last call of [`TargetTable::take_ended`].
+    ended: Vec<usize>,
+    /// Time at which the store last confirmed the registrations; `None` if it never has.
+    confirmed_at: Option<Instant>,
 }
 
 impl TargetTable {
@@ -157,6 +165,8 @@
             by_address: HashMap::default(),
             rounds: HashMap::default(),
             unsettled: BTreeSet::new(),
+            ended: Vec::new(),
+            confirmed_at: None,
         }
     }
 
@@ -227,6 +237,17 @@
         entry.round = rounds.record(entry.round);
     }
 
+    /// Sets the time at which the store last confirmed the registrations in the table.
+    pub fn set_confirmed(&mut self, at: Option<Instant>) {
+        self.confirmed_at = at;
+    }
+
+    /// Returns the targets whose address was reassigned, or that started again under their name,
+    /// since the last call.
+    pub fn take_ended(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Returns the indices of all targets.
     pub fn indices(&self) -> std::ops::Range<usize> {
         0..self.entries.len()
@@ -262,6 +283,13 @@
         if change == RegistrationChange::Restarted {
             entry.health = TargetHealth::default();
             entry.has_ended = false;
+            let former = entry.registration.started;
+            if former > 0 && registration.started > former {
+                // The store still had the former run when it last confirmed the registrations.
+                entry.restarted_after =
+                    self.confirmed_at.and_then(|at| at.checked_sub(RESTART_DOUBT));
+                self.ended.push(index);
+            }
         }
         entry.registration = registration.clone();
         if !registration.cold_left.is_zero() {
@@ -303,6 +331,7 @@
             round: 0,
             position: round_robin::position(&self.instance, &registration.target),
             has_ended: false,
+            restarted_after: None,
             has_cookie_collision,
         });
         self.by_id.insert(registration.target.clone(), index);
@@ -328,6 +357,7 @@
         };
         if let Some(earlier) = earlier {
             self.entries[earlier].has_ended = true;
+            self.ended.push(earlier);
         }
     }
 }
