--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -383,9 +383,8 @@
     /// Has those targets checked whose registration is gone and for which callers wait. A
     /// registration also lapses if the target cannot reach the store, so it alone proves nothing.
     fn check_gone_targets(&mut self, now: Instant) {
-        let is_gone = |(_, change): &&(TargetId, RegistrationChange)| {
-            *change == RegistrationChange::Gone
-        };
+        let is_gone =
+            |(_, change): &&(TargetId, RegistrationChange)| *change == RegistrationChange::Gone;
         let gone = self.registration_changes.iter().filter(is_gone);
         let gone = gone.filter_map(|(target, _)| self.targets.index(target));
         let awaited = gone.filter(|index| self.has_repeatable_waiting(*index));
@@ -398,7 +397,8 @@
     /// Queues resets for targets that have begun to refuse connections for certain. Once they are
     /// queued, further packets of the target's flows are reset when they arrive.
     fn queue_resets_of_refusing(&mut self, unsettled: &[usize]) {
-        let is_refusing = |index: &usize| self.targets.get(*index).health().refused_since().is_some();
+        let is_refusing =
+            |index: &usize| self.targets.get(*index).health().refused_since().is_some();
         let refusing: BTreeSet<_> = unsettled.iter().copied().filter(is_refusing).collect();
         let former = std::mem::replace(&mut self.refusing, refusing.clone());
         for index in refusing.difference(&former) {
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -122,11 +122,8 @@
         flow.target = target;
         flow.last_sent_at = now;
         flow.is_timed_out = false;
-        // The caller has closed the earlier flow of these ends, if there was one.
-        self.waiting.end(&ends);
-        if let Some(earlier) = self.open.get_mut(&ends) {
-            earlier.first_seen = now;
-        }
+        // The caller has closed the earlier flow between these ends, if there was one.
+        self.close(&ends);
     }
 
     /// Returns the estimated number of requests that run at a target through this instance.
@@ -195,10 +192,14 @@
             if flow.running_since.replace(now).is_none() {
                 *self.running.entry(flow.target).or_default() += 1;
             }
-            // Another target than before shows that the ends were used for a new flow.
-            let opened_at = if flow.target == target { flow.first_seen } else { now };
-            let waiting = WaitingFlow { target, since: now, opened_at, ack: flow.last_ack };
-            self.waiting.start(segment.ends, waiting);
+            if flow.target == target {
+                let (opened_at, ack) = (flow.first_seen, flow.last_ack);
+                let waiting = WaitingFlow { target, since: now, opened_at, ack };
+                self.waiting.start(segment.ends, waiting);
+            } else {
+                // The ends belong to another flow by now, or the packet is forged.
+                self.waiting.end(&segment.ends);
+            }
         }
         seen
     }
--- a/lib/src/target_health.rs
+++ b/lib/src/target_health.rs
@@ -131,7 +131,8 @@
     /// (see [`Self::witness_down`]).
     pub fn refused_since(&self) -> Option<Instant> {
         let refused_since = self.refused_since?;
-        let is_witnessed = self.witnessed_at.is_some_and(|at| at + REPORT_VALIDITY >= refused_since);
+        let is_witnessed =
+            self.witnessed_at.is_some_and(|at| at + REPORT_VALIDITY >= refused_since);
         let is_refused = self.refused_checks >= CONFIRM_DOWN_CHECKS;
         (is_refused && is_witnessed && self.is_confirmed_down()).then_some(refused_since)
     }
--- a/lib/src/waiting_flows.rs
+++ b/lib/src/waiting_flows.rs
@@ -36,10 +36,9 @@
 impl WaitingFlows {
     /// Records that a flow waits. Further data of the same request changes nothing.
     pub fn start(&mut self, ends: FlowEnds, flow: WaitingFlow) {
-        if self.get(&ends).is_some_and(|known| known.target == flow.target) {
+        if self.flows.contains_key(&ends) {
             return;
         }
-        self.end(&ends);
         self.flows.insert(ends, flow);
         self.by_target.entry(flow.target).or_default().insert((flow.since, ends));
     }
