--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -33,6 +33,7 @@
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
 use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
 use crate::view::{Member, View};
+use crate::waiting_flows::WaitingFlow;
 
 /// Time for which an opening is remembered, which must exceed the time until the caller's last
 /// retransmission of the opening packet.
@@ -253,11 +254,12 @@
             let still = waiting
                 .filter(|flow| (flow.since, flow.target) == (queued.since, queued.target))
                 .filter(|flow| end_cause(self.targets.get(flow.target), flow.opened_at).is_some());
-            let Some(ack) = still.map(|flow| flow.ack) else { continue };
+            let Some(&WaitingFlow { target, ack, .. }) = still else { continue };
             self.watch.close(&queued.ends);
             self.resets.record_sent();
             let control = Control { acknowledges: true, ..Control::default() };
-            due.push(Segment { ends: queued.ends, control, seq: 0, ack, data_len: 0, cookie: 0 });
+            let cookie = self.targets.get(target).cookie;
+            due.push(Segment { ends: queued.ends, control, seq: 0, ack, data_len: 0, cookie });
         }
         due
     }
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -403,6 +403,11 @@
         let (resets, ended, losses) = {
             let mut forwarder = self.forwarder.lock();
             let resets = forwarder.take_due_resets(now);
+            if let Some(decision) = CookieVerdict::Reset(ResetReason::WaitingForEnded).decision() {
+                for segment in &resets {
+                    self.log.log_decision(decision, segment, &forwarder, now);
+                }
+            }
             (resets, forwarder.take_ended(), forwarder.take_outage_losses(now))
         };
         self.log.log_ended(&ended, now);
--- a/lib/src/log_chain.rs
+++ b/lib/src/log_chain.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::log_message::{
-    CHECKED, CONDITION, DECISION, FOLLOWING, HISTORY_GONE, LEAVING, LEFT, OUTAGES, REFUSED,
+    CHECKED, CONDITION, DECISION, ENDED, FOLLOWING, HISTORY_GONE, LEAVING, LEFT, OUTAGES, REFUSED,
     REGISTRATION, RELOADED, ROUTING, STARTED, STORE_LOST, STORE_RESTORED, YIELDED,
 };
 
@@ -80,7 +80,8 @@
     let targets: BTreeSet<_> = decisions.iter().map(|line| line.field("target")).collect();
     let instances: BTreeSet<_> = decisions.iter().map(|line| &line.instance).collect();
     let is_context = |line: &LogLine| {
-        let is_about_target = [CONDITION, CHECKED, REGISTRATION].contains(&line.message.as_str())
+        let is_about_target = [CONDITION, CHECKED, REGISTRATION, ENDED]
+            .contains(&line.message.as_str())
             && targets.contains(line.field("target"));
         let is_about_instance =
             INSTANCE_EVENTS.contains(&line.message.as_str()) && instances.contains(&line.instance);
@@ -111,6 +112,12 @@
                 let (target, change) = (self.field("target"), self.field("change"));
                 write!(f, "registration of target {target} changed: {change}")
             }
+            ENDED => {
+                let (target, cause) = (self.field("target"), self.field("cause"));
+                let (resets, kept) = (self.field("resets"), self.field("kept"));
+                write!(f, "target {target} has ended ({cause}): {resets} waiting callers reset, ")?;
+                write!(f, "{kept} left that cannot repeat their request")
+            }
             OUTAGES => write!(f, "data centres out now: {}", self.field("out")),
             ROUTING => {
                 let (version, routes) = (self.field("version"), self.field("routes"));
@@ -148,6 +155,9 @@
         "target_ended" => {
             reset(&format!("its target {target} has ended, and another target has its address"))
         }
+        "waiting_for_ended" => {
+            reset(&format!("it waited for target {target}, which has ended for certain"))
+        }
         "unknown_cookie" => dropped("no known target has its cookie"),
         "foreign_cookie" => dropped(&format!("its target {target} is of another service")),
         "no_cookie" => dropped("it names no target"),
