slow_targets: targets that answer slowly get fewer new flows

A target that turned slow counted like any other until its callers retransmitted. Instances now compare each answer with the median of its route, report counts to the collector of a group of targets, and the collector announces lower weights. Routes without a latency objective are not observed, so that nothing changes for them.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -4,18 +4,19 @@
 //! a flow requires a choice of target. Retransmissions of the opening packet, and the packets that
 //! follow it, show whether the target answers.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::answer_outliers::ObservedAnswer;
 use crate::cold_start_limit::{ranks_first, ColdStartLimit};
 use crate::collections::HashMap;
 use crate::cookie::CookieHasher;
 use crate::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
 use crate::directory::Directory;
-use crate::directory_message::TargetCondition;
+use crate::directory_message::{AnnouncedWeight, TargetAnswers, TargetCondition};
 use crate::flow::{FlowHasher, FlowKey, Protocol};
 use crate::flow_tracker::{AnswerTime, FlowTracker};
 use crate::health_check::CheckOutcome;
@@ -25,9 +26,11 @@
 use crate::route::{Part, RecordBody};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::Segment;
+use crate::slow_targets::{SlowTargets, WeightMessage};
 use crate::target_choice::TargetChoice;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
 use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
+use crate::target_weight::{WeightChange, WeightClass};
 use crate::view::{Member, View};
 
 /// Time for which an opening is remembered, which must exceed the time until the caller's last
@@ -103,6 +106,7 @@
     watch: FlowTracker,
     view: Arc<View>,
     rooms: HashMap<ServiceId, ServiceRoom>,
+    slow_targets: SlowTargets,
     routing_confirmed_at: Option<Instant>,
     condition_changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
@@ -115,6 +119,7 @@
         Self {
             hasher: FlowHasher::new(setup.flow_key),
             targets: TargetTable::new(setup.id.clone(), CookieHasher::new(setup.flow_key)),
+            slow_targets: SlowTargets::new(setup.id.clone(), setup.data_centre.clone()),
             setup,
             routes: RouteTable::default(),
             watch: FlowTracker::default(),
@@ -166,6 +171,11 @@
                     if let RecordBody::Registration(registration) = body {
                         let change = self.targets.update(registration, now);
                         let target = registration.target.clone();
+                        if change == Some(RegistrationChange::Restarted) {
+                            if let Some(index) = self.targets.index(&target) {
+                                self.slow_targets.forget(index);
+                            }
+                        }
                         self.registration_changes.extend(change.map(|change| (target, change)));
                     }
                 }
@@ -200,7 +210,11 @@
         for target in self.watch.take_unanswered(now, HANDSHAKE_TIMEOUT) {
             self.targets.health_mut(target).record_failure(now);
         }
-        self.watch.expire(now, OPENING_RETENTION);
+        self.slow_targets.start_tick(now);
+        for (address, overdue) in self.watch.expire(now, OPENING_RETENTION) {
+            self.observe_answer(&address, &overdue, now);
+        }
+        self.slow_targets.tick(&self.view, &mut self.targets, now);
         let mut checks = Vec::new();
         for index in self.targets.unsettled() {
             let is_checked = is_worth_checking(self.targets.get(index));
@@ -238,6 +252,32 @@
         targets.filter(|target| target.accepts_new_flows() && target.health().is_down()).count()
     }
 
+    /// Returns the number of targets in use whose weight is `class`.
+    pub fn count_targets_by_weight(&self, class: WeightClass) -> usize {
+        let targets = self.targets.indices().map(|index| self.targets.get(index));
+        targets.filter(|target| target.accepts_new_flows() && target.weight() == class).count()
+    }
+
+    /// Records the numbers of answers that another instance observed.
+    pub fn on_answer_report(&mut self, from: &Member, report: &[TargetAnswers], now: Instant) {
+        self.slow_targets.on_report(from, report, &self.targets, now);
+    }
+
+    /// Records the weights of targets that another instance announced.
+    pub fn on_weight_report(&mut self, from: &Member, weights: &[AnnouncedWeight], now: Instant) {
+        self.slow_targets.on_weights(from, weights, &self.view, &mut self.targets, now);
+    }
+
+    /// Returns the messages on slow targets since the last call, to be sent to other instances.
+    pub fn take_weight_messages(&mut self) -> Vec<WeightMessage> {
+        self.slow_targets.take_messages()
+    }
+
+    /// Returns the changes of weights that this instance decided on since the last call.
+    pub fn take_weight_changes(&mut self) -> Vec<WeightChange> {
+        self.slow_targets.take_changes()
+    }
+
     /// Records the outcome of a health check.
     pub fn on_check(&mut self, target: &str, outcome: CheckOutcome, now: Instant) {
         let Some(index) = self.targets.index(target) else { return };
@@ -402,7 +442,7 @@
         let seen = self.watch.record_segment(segment, index, now);
         self.timings.extend(seen.handshake_time.map(FlowTiming::Opened));
         if let Some(answer) = seen.answer {
-            self.record_answer(&answer);
+            self.record_answer(&segment.ends.service, &answer, now);
         }
         if seen.is_progress && !self.targets.get(index).health().has_no_failures() {
             let finding = self.targets.health_mut(index).record_progress();
@@ -415,8 +455,28 @@
         verdict
     }
 
-    fn record_answer(&mut self, answer: &AnswerTime) {
+    fn record_answer(&mut self, address: &SocketAddrV4, answer: &AnswerTime, now: Instant) {
         self.timings.push(FlowTiming::Answered(answer.response_time));
+        self.observe_answer(address, answer, now);
+    }
+
+    /// Observes how long a target took for a request. Targets that show failures are avoided anyway,
+    /// and their answers are no sign of slowness.
+    fn observe_answer(&mut self, address: &SocketAddrV4, answer: &AnswerTime, now: Instant) {
+        let RouteLookup::Route(entry) = self.routes.lookup(address) else { return };
+        let target = self.targets.get(answer.target);
+        if !target.health().is_healthy(now) {
+            return;
+        }
+        let observed = ObservedAnswer {
+            target: answer.target,
+            service: &target.registration.service,
+            data_centre: &target.registration.data_centre,
+            route: *address,
+            aim: entry.route.aim,
+            time: answer.response_time,
+        };
+        self.slow_targets.on_answer(&observed, now);
     }
 
     fn apply_finding(
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -25,7 +25,7 @@
 use crate::ids::{DataCentreId, Epoch, InstanceId};
 use crate::instance_peers::BroadcastTree;
 use crate::logging;
-use crate::metrics::{Metrics, PartLabel};
+use crate::metrics::{Metrics, PartLabel, WeightLabel};
 use crate::network::Network;
 use crate::packet_hold::PacketHold;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
@@ -39,6 +39,7 @@
 use crate::segment::{Segment, SegmentFormat};
 use crate::settings::Settings;
 use crate::store_version::Era;
+use crate::target_weight::WeightClass;
 use crate::view::{Member, MemberState, View};
 
 /// Time that the first start of a whole deployment takes.
@@ -351,6 +352,11 @@
             let forwarder = self.forwarder.lock();
             metrics.flows.set(forwarder.watch().len() as i64);
             metrics.targets_down.set(forwarder.count_down_targets() as i64);
+            for class in [WeightClass::Half, WeightClass::Quarter] {
+                let label = WeightLabel { weight: class.label() };
+                let count = forwarder.count_targets_by_weight(class) as i64;
+                metrics.targets_lowered.get_or_create(&label).set(count);
+            }
         }
         metrics.members.set(self.view().members().len() as i64);
         metrics.log_lines_lost.set(logging::lost_lines() as i64);
@@ -374,6 +380,7 @@
             forwarder.tick(now)
         };
         self.announce_condition_changes();
+        self.send_weight_messages(now);
         self.send_heartbeat(now);
         self.send_repair_requests(now);
         self.link.send_queued(now);
--- a/lib/src/directory_message.rs
+++ b/lib/src/directory_message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::ids::{InstanceId, TargetId, Version};
+use crate::ids::{Cookie, InstanceId, TargetId, Version};
 use crate::route::{DirectoryRecord, Part};
+use crate::target_weight::WeightClass;
 
 /// Maximum total size of the records in one datagram, in bytes. It leaves room for the headers
 /// within the usual path MTU.
@@ -29,6 +30,24 @@
         /// The target does not answer.
         Down,
     }
+
+    /// Number of answers of a target that an instance observed.
+    pub struct TargetAnswers {
+        /// Cookie of the target.
+        pub cookie: Cookie,
+        /// All answers.
+        pub answers: u32,
+        /// Answers among them that took far longer than usual.
+        pub outliers: u32,
+    }
+
+    /// Weight of a target.
+    pub struct AnnouncedWeight {
+        /// Cookie of the target.
+        pub cookie: Cookie,
+        /// Weight of the target.
+        pub class: WeightClass,
+    }
 }
 
 value_type! {
@@ -105,6 +124,16 @@
             #[serde(with = "crate::millis")]
             age: Duration,
         },
+        /// Numbers of answers that the sender observed, for the instance that collects them.
+        AnswerReport {
+            /// Targets with their numbers of answers since the sender's last report on them.
+            targets: Vec<TargetAnswers>,
+        },
+        /// Weights of targets that answer slowly or that recovered.
+        WeightReport {
+            /// Targets with their weights.
+            targets: Vec<AnnouncedWeight>,
+        },
     }
 }
 
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -8,10 +8,11 @@
 use crate::decision_log::DecisionLogLimit;
 use crate::directory::Directory;
 use crate::ids::TargetId;
-use crate::log_message::{DECISION, OUTAGES, REGISTRATION, ROUTING};
+use crate::log_message::{DECISION, OUTAGES, REGISTRATION, ROUTING, WEIGHT};
 use crate::route::Part;
 use crate::segment::Segment;
 use crate::target_table::RegistrationChange;
+use crate::target_weight::WeightChange;
 
 /// Writes log lines within the rate limit of their kind.
 #[derive(Debug, Default)]
@@ -72,6 +73,23 @@
         }
     }
 
+    /// Logs a change of a target's weight with the counts that it was based on.
+    pub fn log_weight_change(
+        &self,
+        change: &WeightChange,
+        forwarder: &CookieForwarder,
+        now: Instant,
+    ) {
+        let Some(left_out) = self.limit.allow("weight", now) else { return };
+        let target = &forwarder.targets().get(change.target).registration.target;
+        log::info!(
+            target = target.as_str(), from = change.from.per_mille(), to = change.to.per_mille(),
+            answers = change.sums.answers, outliers = change.sums.outliers,
+            reporters = change.reporters, usual_share = change.usual_share, left_out;
+            "{WEIGHT}"
+        );
+    }
+
     fn log_registrations(&self, changes: &[(TargetId, RegistrationChange)], now: Instant) {
         for (target, change) in changes {
             let Some(left_out) = self.limit.allow(change.label(), now) else { continue };
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -5,6 +5,7 @@
 //! forwarded by their cookie without it.
 
 use std::collections::hash_map::Entry;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -189,16 +190,29 @@
 
     /// Removes half-open flows without a packet for `half_open_timeout` and open flows without one
     /// for [`IDLE_TIMEOUT`], and stops counting requests without progress for [`REQUEST_TIMEOUT`].
-    pub fn expire(&mut self, now: Instant, half_open_timeout: Duration) {
+    /// Returns these requests, with the address that the caller sent them to and the time that has
+    /// passed instead of a response time.
+    pub fn expire(
+        &mut self,
+        now: Instant,
+        half_open_timeout: Duration,
+    ) -> Vec<(SocketAddrV4, AnswerTime)> {
         self.half_open.retain(|_, flow| now < flow.last_sent_at + half_open_timeout);
         let running = &mut self.running;
-        for flow in self.open.values_mut() {
-            if flow.running_since.is_some_and(|since| now >= since + REQUEST_TIMEOUT) {
-                flow.running_since = None;
-                decrement(running, flow.target);
-            }
+        let mut overdue = Vec::new();
+        for (ends, flow) in &mut self.open {
+            let Some(since) = flow.running_since.filter(|since| now >= *since + REQUEST_TIMEOUT)
+            else {
+                continue;
+            };
+            flow.running_since = None;
+            decrement(running, flow.target);
+            let response_time = now.saturating_duration_since(since);
+            let (target, round_trip) = (flow.target, flow.round_trip);
+            overdue.push((ends.service, AnswerTime { target, response_time, round_trip }));
         }
         self.open.retain(|_, flow| now < flow.last_seen + IDLE_TIMEOUT);
+        overdue
     }
 
     /// Returns the number of open flows that are tracked.
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -17,6 +17,7 @@
 use crate::message::{EpochNotice, Frame, Message};
 use crate::metrics::Metrics;
 use crate::reader_election::KnownReader;
+use crate::slow_targets::WeightMessage;
 use crate::view::{Member, View};
 
 /// Number of instances to which an instance relays a change of several datagrams. It is small,
@@ -188,6 +189,16 @@
                 let Some(member) = view.get(sender) else { return };
                 self.forwarder.lock().on_condition(member, &target, condition, now);
             }
+            DirectoryMessage::AnswerReport { targets } => {
+                let view = self.view();
+                let Some(member) = view.get(sender) else { return };
+                self.forwarder.lock().on_answer_report(member, &targets, now);
+            }
+            DirectoryMessage::WeightReport { targets } => {
+                let view = self.view();
+                let Some(member) = view.get(sender) else { return };
+                self.forwarder.lock().on_weight_report(member, &targets, now);
+            }
         }
     }
 
@@ -255,6 +266,22 @@
         }
     }
 
+    /// Sends the messages on slow targets, and logs the weights that this instance changed.
+    pub(crate) fn send_weight_messages(&self, now: Instant) {
+        let messages = {
+            let mut forwarder = self.forwarder.lock();
+            for change in forwarder.take_weight_changes() {
+                let outcome = if change.to > change.from { "lowered" } else { "raised" };
+                Metrics::count(&self.metrics.weight_changes, outcome);
+                self.log.log_weight_change(&change, &forwarder, now);
+            }
+            forwarder.take_weight_messages()
+        };
+        for WeightMessage { to, message } in messages {
+            self.link.send(to, Message::Directory(message));
+        }
+    }
+
     pub(crate) fn broadcast(&self, message: DirectoryMessage) {
         self.link.broadcast(&self.view(), Message::Directory(message));
     }
--- a/lib/src/log_message.rs
+++ b/lib/src/log_message.rs
@@ -5,6 +5,8 @@
 pub const DECISION: &str = "decision on a flow";
 /// A target became responsive or unresponsive.
 pub const CONDITION: &str = "condition of a target changed";
+/// The instance changed the weight of a target that answers slowly or that recovered.
+pub const WEIGHT: &str = "weight of a target changed";
 /// A health check of a target completed.
 pub const CHECKED: &str = "health of a target checked";
 /// A target's registration was added, changed or removed.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -27,6 +27,13 @@
     pub part: &'static str,
 }
 
+/// Label of gauges that are split by the weight of targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WeightLabel {
+    /// Weight in thousandths, such as `500`.
+    pub weight: &'static str,
+}
+
 /// Metrics of an instance and the registry that exposes them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -61,6 +68,10 @@
     pub directory_age: Family<PartLabel, Gauge>,
     /// Number of targets that are unresponsive.
     pub targets_down: Gauge,
+    /// Number of targets that answer slowly and get fewer new flows, by weight.
+    pub targets_lowered: Family<WeightLabel, Gauge>,
+    /// Changes of target weights that this instance decided on, by outcome.
+    pub weight_changes: Family<OutcomeLabel, Counter>,
     /// 1 while this instance reads the platform on behalf of the others, 0 otherwise.
     pub is_reading: Gauge,
     /// Number of log lines dropped because the log queue was full.
@@ -92,6 +103,8 @@
             request_answer: duration_histogram(),
             directory_age: Family::default(),
             targets_down: Gauge::default(),
+            targets_lowered: Family::default(),
+            weight_changes: Family::default(),
             is_reading: Gauge::default(),
             log_lines_lost: Gauge::default(),
         };
@@ -172,6 +185,16 @@
             self.directory_age.clone(),
         );
         registry.register("targets_down", "Targets that do not answer", self.targets_down.clone());
+        registry.register(
+            "targets_lowered",
+            "Targets that answer slowly and get fewer new flows",
+            self.targets_lowered.clone(),
+        );
+        registry.register(
+            "weight_changes",
+            "Changes of target weights that this instance decided on",
+            self.weight_changes.clone(),
+        );
         registry.register(
             "following_platform",
             "Whether this instance follows the platform for the others",
--- a/lib/src/round_robin.rs
+++ b/lib/src/round_robin.rs
@@ -25,8 +25,27 @@
 
     /// Records that a target gets a new flow, and returns the round after it.
     pub fn record(&mut self, round: u64) -> u64 {
+        self.record_spaced(round, 1)
+    }
+
+    /// Records that a target gets a new flow which is its only one in `rounds` rounds, and returns
+    /// the round in which it is next.
+    pub fn record_spaced(&mut self, round: u64, rounds: u64) -> u64 {
         self.current = self.next_round(round);
-        self.current + 1
+        self.current + rounds
+    }
+
+    /// Returns the round in which a target is next after the number of rounds for each of its flows
+    /// changed from `old` to `new`. `round` is the one in which it was next. Instances differ by
+    /// `position`, so that the change takes effect within the current round and the target's flows
+    /// do not come from all instances in the same one.
+    pub fn respaced(&self, round: u64, position: u64, old: u64, new: u64) -> u64 {
+        let delay = position % new.max(1);
+        if new > old {
+            self.next_round(round) + delay
+        } else {
+            round.min(self.current + 1 + delay)
+        }
     }
 }
 
--- a/lib/src/target_choice.rs
+++ b/lib/src/target_choice.rs
@@ -72,6 +72,7 @@
         };
         let slots = entry.registration.slots.max(1);
         let load_per_mille = self.flows.running_requests(index).saturating_mul(1_000) / slots;
+        let load_per_mille = load_per_mille.saturating_mul(entry.weight().divisor());
         let data_centre = &entry.registration.data_centre;
         let (round, position) = (rounds.next_round(entry.round), entry.position);
         Candidate { index, data_centre, health, load_per_mille, round, position }
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -14,6 +14,7 @@
 use crate::round_robin::{self, RoundRobin};
 use crate::route::{Registration, RegistrationState};
 use crate::target_health::TargetHealth;
+use crate::target_weight::WeightClass;
 
 /// Time added to the remaining cold start that a target registers, since the registration takes a
 /// while to reach this instance.
@@ -38,6 +39,8 @@
     pub round: u64,
     /// Position of the target within a round.
     pub position: u64,
+    /// Weight of the target among those of its service.
+    weight: WeightClass,
     /// Whether the target's address belongs to a target that started later, which shows that this
     /// one has ended.
     pub has_ended: bool,
@@ -51,6 +54,11 @@
         &self.health
     }
 
+    /// Returns the weight of the target among those of its service.
+    pub fn weight(&self) -> WeightClass {
+        self.weight
+    }
+
     /// Returns the registered address of the target.
     pub fn address(&self) -> SocketAddr {
         self.registration.address
@@ -224,7 +232,22 @@
     pub fn record_chosen(&mut self, index: usize) {
         let entry = &mut self.entries[index];
         let rounds = self.rounds.entry(entry.registration.service.clone()).or_default();
-        entry.round = rounds.record(entry.round);
+        entry.round = rounds.record_spaced(entry.round, entry.weight.divisor().into());
+    }
+
+    /// Sets the weight of a target.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no target has the index.
+    pub fn set_weight(&mut self, index: usize, weight: WeightClass) {
+        let rounds = self.rounds(&self.entries[index].registration.service);
+        let entry = &mut self.entries[index];
+        if entry.weight != weight {
+            let (old, new) = (entry.weight.divisor().into(), weight.divisor().into());
+            entry.round = rounds.respaced(entry.round, entry.position, old, new);
+            entry.weight = weight;
+        }
     }
 
     /// Returns the indices of all targets.
@@ -302,6 +325,7 @@
             health: TargetHealth::default(),
             round: 0,
             position: round_robin::position(&self.instance, &registration.target),
+            weight: WeightClass::Full,
             has_ended: false,
             has_cookie_collision,
         });
