target_weight: sequential test on pooled answers; tests of slow targets over a fleet

A test on decaying shares needed 3 to 7 s, lowered targets for a burst of waiting requests, and lowered some targets of a service that was slow as a whole. A CUSUM finds a change without the answers before it diluting it.

--- a/lib/src/answer_counts.rs
+++ b/lib/src/answer_counts.rs
@@ -75,6 +75,14 @@
         Self { answers: self.answers + other.answers, outliers: self.outliers + other.outliers }
     }
 
+    /// Returns the difference of two counts, at least zero.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            answers: (self.answers - other.answers).max(0.0),
+            outliers: (self.outliers - other.outliers).max(0.0),
+        }
+    }
+
     /// Returns the share of outliers among the answers, from 0 to 1.
     pub fn outlier_share(self) -> f64 {
         if self.answers > 0.0 {
--- a/lib/src/slow_targets.rs
+++ b/lib/src/slow_targets.rs
@@ -24,12 +24,13 @@
 use crate::view::{Member, View};
 
 /// Time between two evaluations of the collected counts.
-pub const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after which an announced weight is announced again.
-pub const RENEWAL_INTERVAL: Duration = Duration::from_millis(2_500);
+pub const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which weights are announced to all instances again. In between, changes are announced
+/// within the data centre, whose instances send most flows to its targets.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
 /// Time after which an announced weight expires. Two lost renewals do not end it, and a new collector
 /// has found out the same by then.
-pub const WEIGHT_VALIDITY: Duration = Duration::from_secs(8);
+pub const WEIGHT_VALIDITY: Duration = Duration::from_secs(10);
 /// Largest share of a service's targets in use whose weight is lowered, in percent.
 pub const MAX_LOWERED_PERCENT: usize = 30;
 /// Largest number of instances that a collector announces weights to. Those in its own data centre
@@ -63,6 +64,8 @@
     weights: TargetWeights,
     /// Announced weights that are not full.
     in_force: BTreeMap<usize, WeightInForce>,
+    /// Changes since the last announcement to all instances.
+    changed: BTreeMap<usize, WeightClass>,
     /// Targets whose weight in the target table is not full.
     applied: BTreeSet<usize>,
     reported_at: Option<Instant>,
@@ -82,6 +85,7 @@
             reports: AnswerReports::default(),
             weights: TargetWeights::default(),
             in_force: BTreeMap::new(),
+            changed: BTreeMap::new(),
             applied: BTreeSet::new(),
             reported_at: None,
             evaluated_at: None,
@@ -126,7 +130,9 @@
         for answers in report {
             let Some(target) = targets.index_by_cookie(answers.cookie) else { continue };
             let counts = AnswerCounts { answers: answers.answers, outliers: answers.outliers };
-            self.weights.record(target, self.class_in_force(target), &from.id, counts, now);
+            let service = &targets.get(target).registration.service;
+            let class = self.class_in_force(target);
+            self.weights.record((target, service), class, &from.id, counts, now);
         }
     }
 
@@ -146,6 +152,7 @@
             let is_collector =
                 from.data_centre == *data_centre || view.eligible_in(data_centre).next().is_none();
             if is_collector {
+                self.weights.adopt(target, weight.class);
                 self.put_in_force(target, weight.class, now);
             }
         }
@@ -173,7 +180,7 @@
         for due in self.reports.take_due(batch, targets, now) {
             let Some(collector) = due.group.collector(view) else { continue };
             if collector.id == self.id {
-                self.collect_own(&due, now);
+                self.collect_own(&due, targets, now);
                 continue;
             }
             let message =
@@ -182,31 +189,39 @@
         }
     }
 
-    fn collect_own(&mut self, report: &DueReport, now: Instant) {
+    fn collect_own(&mut self, report: &DueReport, targets: &TargetTable, now: Instant) {
         for (target, counts) in &report.counts {
+            let service = &targets.get(*target).registration.service;
             let class = self.class_in_force(*target);
-            self.weights.record(*target, class, &self.id, *counts, now);
+            self.weights.record((*target, service), class, &self.id, *counts, now);
         }
     }
 
     fn evaluate(&mut self, view: &View, targets: &TargetTable, now: Instant) {
         let is_alone = view.members().iter().all(|member| member.id == self.id);
         let outliers = &self.outliers;
-        let usual_share =
-            |target| outliers.outlier_share(&targets.get(target).registration.service, now);
-        let changes = self.weights.evaluate(usual_share, is_alone, now);
-        let mut announced: BTreeMap<_, _> = self.weights.lowered().collect();
-        announced.extend(changes.iter().map(|change| (change.target, change.to)));
-        let is_renewal_due = is_due(self.announced_at, RENEWAL_INTERVAL, now);
-        if announced.is_empty() || (changes.is_empty() && !is_renewal_due) {
-            return;
-        }
-        self.announced_at = Some(now);
+        let own_share = |service: &str| outliers.outlier_share(service, now);
+        let changes = self.weights.evaluate(own_share, is_alone, now);
+        let changed: BTreeMap<_, _> = changes.iter().map(|it| (it.target, it.to)).collect();
         self.changes.extend(changes);
-        for (target, class) in &announced {
+        for (target, class) in &changed {
             self.put_in_force(*target, *class, now);
         }
-        self.announce(&announced, view, targets);
+        self.changed.extend(changed.clone());
+        let lowered: BTreeMap<_, _> = self.weights.lowered().collect();
+        let has_news = !lowered.is_empty() || !self.changed.is_empty();
+        if has_news && is_due(self.announced_at, RENEWAL_INTERVAL, now) {
+            self.announced_at = Some(now);
+            let mut announced = std::mem::take(&mut self.changed);
+            for (target, class) in lowered {
+                self.put_in_force(target, class, now);
+                announced.insert(target, class);
+            }
+            self.announce(&announced, view, targets, |_| true);
+        } else {
+            let data_centre = self.data_centre.clone();
+            self.announce(&changed, view, targets, |it| it.data_centre == data_centre);
+        }
     }
 
     fn announce(
@@ -214,10 +229,12 @@
         weights: &BTreeMap<usize, WeightClass>,
         view: &View,
         targets: &TargetTable,
+        is_recipient: impl Fn(&Member) -> bool,
     ) {
         let others = view.members().iter().filter(|member| member.id != self.id);
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.partition(|member| member.data_centre == self.data_centre);
+        let (near, far): (Vec<_>, Vec<_>) = others
+            .filter(|member| is_recipient(member))
+            .partition(|member| member.data_centre == self.data_centre);
         let recipients = near.into_iter().chain(far).take(MAX_RECIPIENTS);
         let to: Vec<_> = recipients.map(|member| member.peer).collect();
         if to.is_empty() {
--- a/lib/src/target_weight.rs
+++ b/lib/src/target_weight.rs
@@ -3,10 +3,13 @@
 //!
 //! Load pattern: a target that turned slow takes several times as long for every request, and each
 //! instance sees it about once in 5 s. A healthy target answers a few per cent of its requests as
-//! slowly, in chance runs. So a weight falls only if the pooled share of slow answers is far above
-//! that of the service by more than chance, also without the reporter that found most of them: a
-//! single instance with a bad link lowers nothing. The counts start anew at each change, so that
-//! one span of slow answers is not counted twice.
+//! slowly, and more in a row while long ones occupy its slots. The decision is a sequential test
+//! (CUSUM) on the pooled answers: each slow answer is evidence for a slow target and each other
+//! answer against it, by their likelihoods, and the sum never falls below zero, so that what was
+//! before the change does not delay the decision. The expected share of slow answers follows that of
+//! the other targets: when the service as a whole turns slow, nothing is evidence. A weight falls
+//! only if the evidence without its strongest reporter suffices too, so that a single instance with
+//! a bad link lowers nothing. A second sum raises weights again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,25 +17,34 @@
 use tokio::time::Instant;
 
 use crate::answer_counts::{AnswerCounts, AnswerSums, RecentAnswers};
-use crate::ids::InstanceId;
-
-/// Factor on the usual share of slow answers of a service. Only a share above the product is a sign
-/// of a slow target.
-const USUAL_SHARE_FACTOR: f64 = 1.5;
-/// Least share of slow answers that is taken for a sign of a slow target.
-const MIN_SLOW_SHARE: f64 = 0.2;
-/// Largest such share. Beyond it the service as a whole is slow.
-const MAX_SLOW_SHARE: f64 = 0.5;
-/// Standard deviations by which the slow answers must exceed the expected number.
-const SIGNIFICANCE: f64 = 4.0;
-/// Recent answers from which a weight may fall.
-pub const MIN_ANSWERS: f64 = 6.0;
-/// Recent answers from which a weight may rise.
-const MIN_ANSWERS_TO_RAISE: f64 = 5.0;
-/// Largest share of slow answers with which a weight rises.
-const MAX_SHARE_TO_RAISE: f64 = 0.15;
-/// Time at one weight after which it rises unless there are answers that speak against it.
-pub const SILENCE_TO_RAISE: Duration = Duration::from_secs(6);
+use crate::collections::{HashMap, HashSet};
+use crate::ids::{InstanceId, ServiceId};
+
+/// Share of slow answers of a slow target. The others of its answers are short requests.
+const SLOW_TARGET_SHARE: f64 = 0.7;
+/// Share of slow answers from which a weight that was lowered does not rise. It is smaller, since few
+/// requests of a target with a low weight wait for others.
+const STILL_SLOW_SHARE: f64 = 0.5;
+/// Factor on the share of slow answers of the other targets, up to which a target is one of them.
+const USUAL_SHARE_FACTOR: f64 = 2.0;
+/// Least share of slow answers that a healthy target may have, because it queues requests at times.
+const MIN_USUAL_SHARE: f64 = 0.2;
+/// Share of slow answers from which the service as a whole is slow, and no target slower than it.
+const MAX_USUAL_SHARE: f64 = 0.4;
+/// Recent answers of the other targets from which their share of slow ones is known.
+const MIN_USUAL_ANSWERS: f64 = 20.0;
+/// Evidence that lowers a weight, as a logarithm: that of 16 slow answers in a row. Two long requests
+/// that occupy a target's slots delay fewer.
+pub const EVIDENCE_TO_LOWER: f64 = 20.0;
+/// Evidence from which a target may be slow.
+const EVIDENCE_TO_SUSPECT: f64 = EVIDENCE_TO_LOWER / 4.0;
+/// Largest share of the collected targets of a service that may be slow at the same time, in percent.
+/// If more may be, the service as a whole is turning slow, and no weight falls.
+const MAX_SUSPECTED_PERCENT: usize = 30;
+/// Part of [`EVIDENCE_TO_LOWER`] that must come from others than the strongest reporter.
+const EVIDENCE_OF_OTHERS: f64 = EVIDENCE_TO_LOWER / 2.0;
+/// Evidence that raises a weight, as a logarithm: that of 11 answers in usual time in a row.
+pub const EVIDENCE_TO_RAISE: f64 = 5.0;
 /// Time without a report after which a target is forgotten.
 pub const REPORT_RETENTION: Duration = Duration::from_secs(4);
 
@@ -89,7 +101,7 @@
     }
 }
 
-/// Change of a target's weight, with the counts that it was based on.
+/// Change of a target's weight, with what it was based on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WeightChange {
     /// Index of the target.
@@ -98,21 +110,52 @@
     pub from: WeightClass,
     /// Weight after the change.
     pub to: WeightClass,
-    /// Recent answers and slow answers, without the reporter that found most slow ones.
+    /// Recent answers and slow answers of the target.
     pub sums: AnswerSums,
-    /// Number of instances that reported on the target.
+    /// Number of instances whose answers are evidence that the target is slow.
     pub reporters: usize,
-    /// Share of slow answers of the service, from 0 to 1.
+    /// Share of slow answers that a healthy target may have, from 0 to 1.
     pub usual_share: f64,
 }
 
+/// Evidence that one answer adds, as logarithms of the ratio of likelihoods between a slow and a
+/// healthy target.
+#[derive(Clone, Copy, Debug)]
+struct AnswerEvidence {
+    outlier: f64,
+    other: f64,
+}
+
+impl AnswerEvidence {
+    /// Returns the evidence for the shares of slow answers of a slow and of a healthy target.
+    fn new(slow_share: f64, usual_share: f64) -> Self {
+        Self {
+            outlier: (slow_share / usual_share).ln(),
+            other: ((1.0 - slow_share) / (1.0 - usual_share)).ln(),
+        }
+    }
+
+    fn of(self, counts: AnswerCounts) -> f64 {
+        let others = counts.answers - counts.outliers;
+        self.outlier * f64::from(counts.outliers) + self.other * f64::from(others)
+    }
+}
+
 /// What is collected about one target.
 #[derive(Debug)]
 struct CollectedAnswers {
+    service: ServiceId,
     class: WeightClass,
-    changed_at: Instant,
     reported_at: Instant,
-    by_reporter: BTreeMap<InstanceId, RecentAnswers>,
+    recent: RecentAnswers,
+    /// Share of slow answers that a healthy target may have at present.
+    usual_share: f64,
+    /// Counts since the last evaluation.
+    fresh: BTreeMap<InstanceId, AnswerCounts>,
+    /// Evidence that the target is slow, by reporter, since their sum was last zero.
+    slow_evidence: BTreeMap<InstanceId, f64>,
+    /// Evidence that the target is as fast as others.
+    fast_evidence: f64,
 }
 
 /// Weights of the targets whose counts this instance collects.
@@ -122,28 +165,40 @@
 }
 
 impl TargetWeights {
-    /// Records the counts that an instance reported for a target. `in_force` is the weight of the
-    /// target, which is adopted if another instance collected its counts before.
+    /// Records the counts that an instance reported for a target of `service`. `in_force` is the
+    /// weight of the target, which is adopted if another instance collected its counts before.
     pub fn record(
         &mut self,
-        target: usize,
+        (target, service): (usize, &ServiceId),
         in_force: WeightClass,
         reporter: &InstanceId,
         counts: AnswerCounts,
         now: Instant,
     ) {
         let new_target = || CollectedAnswers {
+            service: service.clone(),
             class: in_force,
-            changed_at: now,
             reported_at: now,
-            by_reporter: BTreeMap::new(),
+            recent: RecentAnswers::new(now),
+            usual_share: MIN_USUAL_SHARE,
+            fresh: BTreeMap::new(),
+            slow_evidence: BTreeMap::new(),
+            fast_evidence: 0.0,
         };
         let collected = self.targets.entry(target).or_insert_with(new_target);
+        let counts = AnswerCounts { outliers: counts.outliers.min(counts.answers), ..counts };
         collected.reported_at = now;
-        let new_answers = || RecentAnswers::new(now);
-        let recent = collected.by_reporter.entry(reporter.clone()).or_insert_with(new_answers);
-        let outliers = counts.outliers.min(counts.answers);
-        recent.add(AnswerCounts { outliers, ..counts }, now);
+        collected.recent.add(counts, now);
+        collected.fresh.entry(reporter.clone()).or_default().add(counts);
+    }
+
+    /// Adopts the weight that another instance announced for a target whose counts reach both, as
+    /// while views of the membership differ.
+    pub fn adopt(&mut self, target: usize, class: WeightClass) {
+        let collected = self.targets.get_mut(&target).filter(|it| it.class != class);
+        if let Some(collected) = collected {
+            collected.change(class);
+        }
     }
 
     /// Forgets a target, for example after its restart.
@@ -151,30 +206,43 @@
         self.targets.remove(&target);
     }
 
-    /// Changes the weights that the counts call for, each by one step. `usual_share` returns the
-    /// share of slow answers of a target's service; `is_alone` is whether no other instance could
-    /// report.
+    /// Changes the weights that the counts call for, each by one step. `own_share` returns the share
+    /// of slow answers of a service that this instance observed itself; `is_alone` is whether no
+    /// other instance could report.
     pub fn evaluate(
         &mut self,
-        usual_share: impl Fn(usize) -> f64,
+        own_share: impl Fn(&str) -> f64,
         is_alone: bool,
         now: Instant,
     ) -> Vec<WeightChange> {
         self.targets.retain(|_, collected| now < collected.reported_at + REPORT_RETENTION);
+        let totals = self.sums_by_service(now);
+        for collected in self.targets.values_mut() {
+            let total = totals.get(&collected.service).copied().unwrap_or_default();
+            let others = total.minus(collected.recent.sums(now));
+            let is_known = others.answers >= MIN_USUAL_ANSWERS;
+            let others_share = if is_known { others.outlier_share() } else { 0.0 };
+            let share = others_share.max(own_share(&collected.service));
+            collected.usual_share = (share * USUAL_SHARE_FACTOR).max(MIN_USUAL_SHARE);
+            collected.add_evidence();
+        }
+        let slow_services = self.slow_services();
         let mut changes = Vec::new();
         for (target, collected) in &mut self.targets {
-            let usual_share = usual_share(*target);
-            let sums = collected.credible_sums(is_alone, now);
-            let to = collected.class_after(sums, usual_share, now);
-            let from = collected.class;
-            if to == from {
+            let may_fall = !slow_services.contains(&collected.service);
+            let (from, to) = (collected.class, collected.next_class(is_alone));
+            if to == from || (to > from && !may_fall) {
                 continue;
             }
-            let reporters = collected.by_reporter.len();
-            changes.push(WeightChange { target: *target, from, to, sums, reporters, usual_share });
-            collected.class = to;
-            collected.changed_at = now;
-            collected.by_reporter.clear();
+            changes.push(WeightChange {
+                target: *target,
+                from,
+                to,
+                sums: collected.recent.sums(now),
+                reporters: collected.slow_evidence.len(),
+                usual_share: collected.usual_share,
+            });
+            collected.change(to);
         }
         changes
     }
@@ -184,38 +252,73 @@
         let classes = self.targets.iter().map(|(target, collected)| (*target, collected.class));
         classes.filter(|(_, class)| *class != WeightClass::Full)
     }
+
+    fn sums_by_service(&self, now: Instant) -> HashMap<ServiceId, AnswerSums> {
+        let mut totals: HashMap<ServiceId, AnswerSums> = HashMap::default();
+        for collected in self.targets.values() {
+            let total = totals.entry(collected.service.clone()).or_default();
+            *total = total.plus(collected.recent.sums(now));
+        }
+        totals
+    }
+
+    /// Returns the services of which more targets may be slow than may be lowered.
+    fn slow_services(&self) -> HashSet<ServiceId> {
+        let mut counts: HashMap<ServiceId, (usize, usize)> = HashMap::default();
+        for collected in self.targets.values() {
+            let (suspected, all) = counts.entry(collected.service.clone()).or_default();
+            *suspected += usize::from(collected.is_suspected());
+            *all += 1;
+        }
+        let is_slow = |(suspected, all): (usize, usize)| {
+            suspected > 1 && suspected * 100 > all * MAX_SUSPECTED_PERCENT
+        };
+        let slow = counts.into_iter().filter(|(_, counts)| is_slow(*counts));
+        slow.map(|(service, _)| service).collect()
+    }
 }
 
 impl CollectedAnswers {
-    /// Returns the sum over all reporters without the one that found most slow answers, or over all
-    /// if there can be only one.
-    fn credible_sums(&self, is_alone: bool, now: Instant) -> AnswerSums {
-        let mut reports: Vec<_> = self.by_reporter.values().map(|it| it.sums(now)).collect();
-        reports.sort_by(|a, b| a.outliers.total_cmp(&b.outliers));
-        if !is_alone {
-            reports.pop();
-        }
-        reports.into_iter().fold(AnswerSums::default(), AnswerSums::plus)
+    fn is_suspected(&self) -> bool {
+        let slow_evidence: f64 = self.slow_evidence.values().sum();
+        self.class != WeightClass::Full || slow_evidence >= EVIDENCE_TO_SUSPECT
     }
 
-    fn class_after(&self, sums: AnswerSums, usual_share: f64, now: Instant) -> WeightClass {
-        let share = (usual_share * USUAL_SHARE_FACTOR).clamp(MIN_SLOW_SHARE, MAX_SLOW_SHARE);
-        if sums.answers >= MIN_ANSWERS && sums.outliers >= significant_outliers(sums, share) {
-            return self.class.lowered();
+    /// Adds the evidence of the fresh counts. There is none while the service as a whole is slow.
+    fn add_evidence(&mut self) {
+        let fresh = std::mem::take(&mut self.fresh);
+        if self.usual_share >= MAX_USUAL_SHARE {
+            return self.slow_evidence.clear();
         }
-        let is_fast =
-            sums.answers >= MIN_ANSWERS_TO_RAISE && sums.outlier_share() <= MAX_SHARE_TO_RAISE;
-        let is_silent =
-            sums.answers < MIN_ANSWERS_TO_RAISE && now >= self.changed_at + SILENCE_TO_RAISE;
-        if is_fast || is_silent {
-            return self.class.raised();
+        let for_slow = AnswerEvidence::new(SLOW_TARGET_SHARE, self.usual_share);
+        let for_still_slow = AnswerEvidence::new(STILL_SLOW_SHARE, self.usual_share);
+        for (reporter, counts) in fresh {
+            *self.slow_evidence.entry(reporter).or_default() += for_slow.of(counts);
+            self.fast_evidence = (self.fast_evidence - for_still_slow.of(counts)).max(0.0);
+        }
+        if self.slow_evidence.values().sum::<f64>() <= 0.0 {
+            self.slow_evidence.clear();
+        }
+    }
+
+    fn next_class(&self, is_alone: bool) -> WeightClass {
+        let slow_evidence: f64 = self.slow_evidence.values().sum();
+        let strongest = self.slow_evidence.values().copied().fold(0.0, f64::max);
+        let is_agreed = is_alone || slow_evidence - strongest >= EVIDENCE_OF_OTHERS;
+        if slow_evidence >= EVIDENCE_TO_LOWER && is_agreed {
+            self.class.lowered()
+        } else if self.fast_evidence >= EVIDENCE_TO_RAISE {
+            self.class.raised()
+        } else {
+            self.class
         }
-        self.class
     }
-}
 
-/// Returns the number of slow answers that chance does not explain if `share` of them are expected.
-fn significant_outliers(sums: AnswerSums, share: f64) -> f64 {
-    let expected = sums.answers * share;
-    expected + SIGNIFICANCE * (expected * (1.0 - share)).sqrt()
+    /// Sets the weight, after which evidence is collected anew.
+    fn change(&mut self, class: WeightClass) {
+        self.class = class;
+        self.fresh.clear();
+        self.slow_evidence.clear();
+        self.fast_evidence = 0.0;
+    }
 }
