--- a/lib/tests/test_slow_targets.rs
+++ b/lib/tests/test_slow_targets.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,14 +17,18 @@
 use hollyhead::message::{Frame, Message};
 use hollyhead::random::{Random, SeededRandom};
 use hollyhead::route::{
-    FlowLimits, Part, RecordBody, Registration, RegistrationState, Route, RoutedService, Routing,
-    ServiceShare,
+    DirectoryRecord, FlowLimits, Part, RecordBody, Registration, RegistrationState, Route,
+    RoutedService, Routing, ServiceShare,
 };
 use hollyhead::segment::{Control, FlowEnds, Segment};
 use hollyhead::slow_targets::WEIGHT_VALIDITY;
 use hollyhead::target_weight::{WeightChange, WeightClass};
 use hollyhead::view::{Member, MemberState, View};
 use smol_str::format_smolstr;
+use testutils::bandwidth_limited_network::LinkLimits;
+use testutils::cookie_fleet::{ready_registration, CookieFleet};
+use testutils::json_segment;
+use testutils::memory_platform::MemoryPlatform;
 use tokio::time::Instant;
 
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
@@ -111,7 +115,7 @@
     }
 }
 
-fn directory(targets: usize, aim: Duration, now: Instant) -> Directory {
+fn routing(aim: Duration) -> Routing {
     let route = |(address, _): &(SocketAddrV4, f64)| Route {
         name: format_smolstr!("{address}"),
         address: *address,
@@ -127,12 +131,15 @@
         cold_time: Duration::from_secs(2),
         cold_flows_per_second: 0,
     };
-    let routing = Routing {
+    Routing {
         version: 1,
         routes: ROUTES.iter().map(route).collect(),
         services: vec![service],
         limits: FlowLimits { idle_timeout: Duration::from_secs(12) },
-    };
+    }
+}
+
+fn directory(targets: usize, aim: Duration, now: Instant) -> Directory {
     let registration = |number: usize| Registration {
         target: format_smolstr!("target-{number:03}"),
         token: number as u64,
@@ -146,7 +153,7 @@
     };
     let registrations = (0..targets).map(registration);
     let listed = registrations.map(|it| (it.target.clone(), 1, RecordBody::Registration(it)));
-    let routing = routing.into_records().into_iter().map(|(name, body)| (name, 1, body));
+    let routing = routing(aim).into_records().into_iter().map(|(name, body)| (name, 1, body));
     let mut directory = Directory::default();
     for (part, listed) in [(Part::Routing, routing.collect()), (Part::Targets, listed.collect())] {
         let records = directory.differences(part, 1, listed);
@@ -577,3 +584,75 @@
         assert!(slow.0 <= 900, "{slow:?}");
     }
 }
+
+/// A target that was lowered starts again.
+#[test]
+fn update_restarted_target_has_its_full_weight() {
+    let mut fleet = Fleet::new(2, 4, AIM);
+    let forwarder = &mut fleet.instances[1].forwarder;
+    let cookie = forwarder.targets().get(0).cookie;
+    let weight = AnnouncedWeight { cookie, class: WeightClass::Half };
+    forwarder.on_weight_report(&fleet.members[0], &[weight], fleet.now);
+    let mut registration = forwarder.targets().get(0).registration.clone();
+    assert_eq!(fleet.lowered_at(1).len(), 1);
+    registration.started = 2;
+    let name = registration.target.clone();
+    let body = Some(RecordBody::Registration(registration));
+    let mut directory = directory(4, AIM, fleet.now);
+    directory.merge(Part::Targets, vec![DirectoryRecord { name, version: 2, body }], fleet.now);
+    fleet.instances[1].forwarder.update(&directory, Part::Targets, fleet.now);
+    fleet.run_until(seconds(1));
+    assert_eq!(fleet.lowered_at(1), BTreeSet::new());
+}
+
+/// Three instances with links between them send 60 requests a second to six targets, one of which
+/// takes 300 ms for each.
+#[tokio::test(start_paused = true)]
+async fn tick_instances_exchange_counts_and_weights() {
+    const INSTANCES: usize = 3;
+    let link = LinkLimits { bytes_per_second: 1_250_000, queue_bytes: 125_000 };
+    let platform = Arc::new(MemoryPlatform::default());
+    for number in 0..6 {
+        let body = serde_json::to_value(ready_registration(number)).unwrap();
+        platform.force_put(Part::Targets.kind(), &format!("target-{number}"), body);
+    }
+    let mut routing = routing(AIM);
+    routing.routes[0].services[0].service = "mailroom".into();
+    let body = serde_json::to_value(routing).unwrap();
+    platform.force_put(Part::Routing.kind(), "main", body);
+    let mut fleet = CookieFleet::restart(INSTANCES, link, platform);
+    fleet.run_for(seconds(3)).await;
+    let mut due: BTreeMap<u32, Vec<(usize, Segment)>> = BTreeMap::new();
+    for step in 0..600 {
+        let index = step as usize % INSTANCES;
+        let caller = SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1_000 + step as u16);
+        let ends = FlowEnds { caller, service: ROUTES[0].0 };
+        fleet.inject(index, &json_segment::encode(&json_segment::opening(ends, 0)));
+        let (cookie, is_slow) = fleet.instances().nth(index).unwrap().with_forwarder(|it| {
+            let target = it.watch().half_open(&ends).unwrap().target;
+            let entry = it.targets().get(target);
+            (entry.cookie, entry.registration.target == "target-0")
+        });
+        let control = Control { acknowledges: true, ..Control::default() };
+        let data = Segment { ends, control, seq: 101, ack: 500, data_len: 100, cookie };
+        let acknowledgement = Segment { seq: 201, ack: 900, data_len: 0, ..data };
+        due.entry(step + 1).or_default().push((index, data));
+        let answered = step + if is_slow { 19 } else { 3 };
+        due.entry(answered).or_default().push((index, acknowledgement));
+        for (index, segment) in due.remove(&step).unwrap_or_default() {
+            fleet.inject(index, &json_segment::encode(&segment));
+        }
+        fleet.run_for(Duration::from_millis(16)).await;
+    }
+    for instance in fleet.instances() {
+        let text = instance.render_metrics(Instant::now());
+        let lowered = text.lines().filter(|line| line.starts_with("hollyhead_targets_lowered{"));
+        let counts: Vec<_> = lowered.map(|line| line.ends_with(" 1")).collect();
+        assert_eq!(counts.iter().filter(|is_one| **is_one).count(), 1, "{text}");
+        let is_slow_lowered = instance.with_forwarder(|it| {
+            let targets = it.targets();
+            targets.get(targets.index("target-0").unwrap()).weight() != WeightClass::Full
+        });
+        assert!(is_slow_lowered);
+    }
+}
