--- a/lib/src/answer_reports.rs
+++ b/lib/src/answer_reports.rs
@@ -84,6 +84,9 @@
             let new_counts = || PendingCounts { counts: AnswerCounts::default(), since: now };
             self.pending.entry(target).or_insert_with(new_counts).counts.add(counts);
         }
+        if self.pending.is_empty() {
+            return Vec::new();
+        }
         let mut by_group = self.by_group(targets);
         let mut groups: Vec<_> = by_group.keys().cloned().collect();
         let is_served =
