--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -25,7 +25,7 @@
 use crate::ids::{DataCentreId, Epoch, InstanceId};
 use crate::instance_peers::BroadcastTree;
 use crate::logging;
-use crate::metrics::{Metrics, OutageLabel, PartLabel};
+use crate::metrics::{Metrics, OutageLabel, PartLabel, WeightLabel};
 use crate::network::Network;
 use crate::outage_losses::OutageLoss;
 use crate::packet_hold::PacketHold;
@@ -40,6 +40,7 @@
 use crate::segment::{Segment, SegmentFormat};
 use crate::settings::Settings;
 use crate::store_version::Era;
+use crate::target_weight::WeightClass;
 use crate::view::{Member, MemberState, View};
 
 /// Time that the first start of a whole deployment takes.
@@ -367,6 +368,11 @@
             metrics.waiting_flows.set(forwarder.watch().waiting().len() as i64);
             metrics.untracked_packets.set(forwarder.watch().untracked_packets() as i64);
             metrics.targets_down.set(forwarder.count_down_targets() as i64);
+            for class in [WeightClass::Half, WeightClass::Quarter] {
+                let label = WeightLabel { weight: class.label() };
+                let count = forwarder.count_targets_by_weight(class) as i64;
+                metrics.targets_lowered.get_or_create(&label).set(count);
+            }
         }
         metrics.members.set(self.view().members().len() as i64);
         metrics.log_lines_lost.set(logging::lost_lines() as i64);
@@ -392,6 +398,7 @@
         };
         self.reset_waiting_flows(now);
         self.announce_condition_changes();
+        self.send_weight_messages(now);
         self.send_heartbeat(now);
         self.send_repair_requests(now);
         self.link.send_queued(now);
