--- a/lib/src/demand_exchange.rs
+++ b/lib/src/demand_exchange.rs
@@ -21,17 +21,17 @@
 
 /// Time between two reports of an instance.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Age above which rates are not used.
+/// Age above which an estimate of another data centre is not used, since one of its instances
+/// reported it.
 pub const MAX_RATES_AGE: Duration = Duration::from_secs(5);
+/// Age above which the rates of another instance of the own data centre are not used.
+pub const MAX_INSTANCE_RATES_AGE: Duration = Duration::from_secs(3);
 /// Largest number of services in a report, those with the most requests.
 pub const MAX_REPORTED_SERVICES: usize = 16;
 /// Largest number of data centres in a report, so that it fits one datagram.
 pub const MAX_REPORTED_DATA_CENTRES: usize = 8;
 /// Number of the latest samples that an estimate is made of.
-const MAX_SAMPLES: usize = 8;
-/// Least number of samples of an estimate, in a fleet that has as many instances. The median of three
-/// withstands one wrong report.
-const MIN_SAMPLES: usize = 3;
+const MAX_SAMPLES: usize = 5;
 /// Factor on the median at which a sample is capped before the mean is taken.
 const OUTLIER_FACTOR: f64 = 2.0;
 /// Rate up to which a sample is never capped, since few requests vary much.
@@ -222,27 +222,28 @@
         for member in view.members().iter().filter(|member| member.is_eligible()) {
             *members.entry(&member.data_centre).or_default() += 1;
         }
-        let others = members.values().sum::<usize>().saturating_sub(1);
         let estimates = members.into_iter().map(|(data_centre, instances)| {
-            let required = if *data_centre == self.data_centre { instances } else { others };
+            let is_own = *data_centre == self.data_centre;
             let samples = self.latest_samples(data_centre, now);
-            let is_known = samples.len() >= required.min(MIN_SAMPLES);
             DataCentreDemand {
                 data_centre: data_centre.clone(),
                 instances,
-                observed_at: median_time(&samples).filter(|_| is_known),
-                per_instance: average(&samples, *data_centre == self.data_centre),
+                observed_at: if is_own { Some(now) } else { second_latest(&samples) },
+                per_instance: average(&samples, is_own),
             }
         });
         self.estimates = estimates.collect();
     }
 
-    /// Returns the latest samples of a data centre. The own rates are a sample of the own one.
+    /// Returns the latest samples of a data centre, the latest first. The own rates are a sample of the
+    /// own data centre.
     fn latest_samples(&self, data_centre: &DataCentreId, now: Instant) -> Vec<Sample> {
         let samples = self.samples.get(data_centre).map_or(&[][..], Vec::as_slice);
-        let mut samples: Vec<_> =
-            samples.iter().filter(|it| is_fresh(it.observed_at, now)).cloned().collect();
-        if *data_centre == self.data_centre {
+        let is_own = *data_centre == self.data_centre;
+        let max_age = if is_own { MAX_INSTANCE_RATES_AGE } else { MAX_RATES_AGE };
+        let is_fresh = |it: &&Sample| now.saturating_duration_since(it.observed_at) <= max_age;
+        let mut samples: Vec<_> = samples.iter().filter(is_fresh).cloned().collect();
+        if is_own {
             let (sender, rates) = (self.instance.clone(), self.own.clone());
             samples.push(Sample { sender, observed_at: now, rates });
         }
@@ -327,6 +328,12 @@
     (names.into_iter().collect(), is_complete)
 }
 
+/// Returns the median of values, the lower one of two.
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+}
+
 /// Returns the average of samples: the mean of capped samples for rates of single instances, the
 /// median for samples that are estimates themselves.
 fn average(samples: &[Sample], is_of_instances: bool) -> InstanceRates {
@@ -351,14 +358,7 @@
     values.into_iter().map(|value| value.min(cap)).sum::<f64>() / count
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or_default()
-}
-
-/// Returns the median of the times at which samples were observed, the earlier one of two.
-fn median_time(samples: &[Sample]) -> Option<Instant> {
-    let mut times: Vec<_> = samples.iter().map(|it| it.observed_at).collect();
-    times.sort_unstable();
-    times.get(times.len().saturating_sub(1) / 2).copied()
+/// Returns the time of the second latest sample, or of the only one. The latest one may be wrong.
+fn second_latest(samples: &[Sample]) -> Option<Instant> {
+    samples.get(1).or_else(|| samples.first()).map(|it| it.observed_at)
 }
