--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -166,11 +166,13 @@
     }
 
     /// Recomputes the rooms if that is due, and the share of each service's new flows that go to
-    /// other data centres.
-    pub fn refresh_rooms(&mut self, now: Instant) {
-        let Some(rooms) = self.room_table.refresh(&self.targets, &self.view, now) else { return };
+    /// other data centres. Returns whether it was due.
+    pub fn refresh_rooms(&mut self, now: Instant) -> bool {
+        let rooms = self.room_table.refresh(&self.targets, &self.view, now);
+        let Some(rooms) = rooms else { return false };
         self.set_rooms(rooms);
         self.update_spillovers(now);
+        true
     }
 
     /// Updates the spillover of each service from its room.
@@ -371,12 +373,12 @@
     }
 
     fn open_flow(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
+        let hash = self.hash(segment);
         let service = match self.routes.lookup(&segment.ends.service) {
-            RouteLookup::Route(entry) => entry.select_service(self.hash(segment)).cloned(),
+            RouteLookup::Route(entry) => entry.select_service(hash).cloned(),
             RouteLookup::Removed | RouteLookup::Unknown => return self.reject_unknown_address(now),
         };
         let Some(service) = service else { return CookieVerdict::Reset(ResetReason::NoTarget) };
-        let hash = self.hash(segment);
         // The failure makes the target suspected, so that a retransmission goes to another one.
         if let Some(last) = self.watch.half_open(&segment.ends).map(|opening| opening.target) {
             self.targets.health_mut(last).record_failure(now);
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -375,8 +375,9 @@
             let mut forwarder = self.forwarder.lock();
             forwarder.set_view(view);
             forwarder.set_routing_confirmed(confirmed);
-            forwarder.refresh_rooms(now);
-            self.log.log_spillovers(&forwarder, now);
+            if forwarder.refresh_rooms(now) {
+                self.log.log_spillovers(&forwarder, now);
+            }
             forwarder.tick(now)
         };
         self.announce_condition_changes();
