demand_exchange: estimates hold for 8 s; test of the wiring in a fleet

With 5 s and the calm rate, 13 of 24 instances knew the demand of all three data centres; with 8 s at least 20 do (test on_peer_datagram_reports_make_the_rooms_known).

--- a/lib/src/demand_exchange.rs
+++ b/lib/src/demand_exchange.rs
@@ -25,7 +25,7 @@
 pub const CALM_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Age above which an estimate of another data centre is not used, since one of its instances
 /// reported it.
-pub const MAX_RATES_AGE: Duration = Duration::from_secs(5);
+pub const MAX_RATES_AGE: Duration = Duration::from_secs(8);
 /// Age above which the rates of another instance of the own data centre are not used.
 pub const MAX_INSTANCE_RATES_AGE: Duration = Duration::from_secs(3);
 /// Largest number of services in a report, those with the most requests.
--- a/lib/tests/test_demand_exchange.rs
+++ b/lib/tests/test_demand_exchange.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use hollyhead::cookie_instance::CookieInstance;
 use hollyhead::demand_exchange::{
     DemandExchange, DemandReport, InstanceRates, Receiver, ReportSchedule, BUSY_REPORT_INTERVAL,
     CALM_REPORT_INTERVAL, MAX_RATES_AGE,
@@ -11,8 +12,11 @@
 use hollyhead::message::{Frame, Message};
 use hollyhead::random::{Random, SeededRandom};
 use hollyhead::room::Demand;
+use hollyhead::route::{FlowLimits, Part, Routing};
 use hollyhead::view::{Member, MemberState, View};
 use smol_str::format_smolstr;
+use testutils::bandwidth_limited_network::LinkLimits;
+use testutils::cookie_fleet::{ready_registration, CookieFleet};
 use tokio::time::Instant;
 
 const DATA_CENTRES: [&str; 3] = ["cairo-a", "cairo-b", "cairo-c"];
@@ -21,6 +25,8 @@
 const STEP: Duration = Duration::from_millis(250);
 /// Bytes that [`hollyhead::envelope`] adds for a name of 12 bytes.
 const ENVELOPE_BYTES: usize = 47;
+const INSTANCES: usize = 24;
+const LINK: LinkLimits = LinkLimits { bytes_per_second: 1_250_000, queue_bytes: 125_000 };
 
 struct Fleet {
     view: View,
@@ -220,3 +226,24 @@
     assert!(fleet.close_share([RATE; 3], 0.2) > 0.75);
     assert!(fleet.close_share([RATE; 3], 0.5) > 0.95);
 }
+
+fn json(value: &impl serde::Serialize) -> serde_json::Value {
+    serde_json::to_value(value).expect("the value can be encoded")
+}
+
+/// Load: none. Instances that run in a network learn the demand of all data centres.
+#[tokio::test(start_paused = true)]
+async fn on_peer_datagram_reports_make_the_rooms_known() {
+    let mut fleet = CookieFleet::start(INSTANCES, LINK);
+    let limits = FlowLimits { idle_timeout: Duration::from_secs(9) };
+    let routing = Routing { version: 1, routes: Vec::new(), services: Vec::new(), limits };
+    fleet.platform().force_put(Part::Routing.kind(), "main", json(&routing));
+    let target = json(&ready_registration(0));
+    fleet.platform().force_put(Part::Targets.kind(), "target-0", target);
+    fleet.run_for(Duration::from_secs(20)).await;
+    let is_known = |it: &&CookieInstance| {
+        it.with_forwarder(|it| it.room("mailroom").is_some_and(|room| room.demand().is_some()))
+    };
+    let known = fleet.instances().filter(is_known).count();
+    assert!(known * 10 >= INSTANCES * 8, "{known} of {INSTANCES}");
+}
--- a/lib/tests/test_room_table.rs
+++ b/lib/tests/test_room_table.rs
@@ -198,5 +198,5 @@
 #[test]
 fn pass_interval_is_longer_with_many_targets() {
     assert_eq!(pass_interval(150), MIN_PASS_INTERVAL);
-    assert_eq!(pass_interval(46_000), Duration::from_millis(1_150));
+    assert_eq!(pass_interval(46_000), Duration::from_millis(1_840));
 }
