--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -4,7 +4,7 @@
 //! a flow requires a choice of target. Retransmissions of the opening packet, and the packets that
 //! follow it, show whether the target answers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 use crate::collections::HashMap;
 use crate::cookie::CookieHasher;
 use crate::cookie_verdict::{CookieVerdict, DropReason, ResetReason};
+use crate::demand_exchange::DemandReport;
 use crate::directory::Directory;
 use crate::directory_message::{AnnouncedWeight, TargetAnswers, TargetCondition};
 use crate::ended_target::{end_cause, EndedTarget};
@@ -27,10 +28,12 @@
 use crate::outage_losses::{OutageLoss, OutageLosses};
 use crate::reset_queue::{QueuedReset, ResetQueue};
 use crate::room::ServiceRoom;
+use crate::room_table::RoomTable;
 use crate::route::{Part, RecordBody, Registration};
 use crate::route_table::{RouteLookup, RouteTable};
 use crate::segment::{Control, FlowEnds, Segment};
 use crate::slow_targets::{SlowTargets, WeightMessage};
+use crate::spillover::{self, Spillover};
 use crate::target_choice::TargetChoice;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
 use crate::target_table::{RegistrationChange, TargetEntry, TargetTable};
@@ -114,6 +117,8 @@
     view: Arc<View>,
     rooms: HashMap<ServiceId, ServiceRoom>,
     slow_targets: SlowTargets,
+    room_table: RoomTable,
+    spillovers: BTreeMap<ServiceId, Spillover>,
     routing_confirmed_at: Option<Instant>,
     condition_changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
@@ -130,6 +135,8 @@
     pub fn new(setup: CookieForwarderSetup) -> Self {
         Self {
             hasher: FlowHasher::new(setup.flow_key),
+            room_table: RoomTable::new(setup.id.clone(), setup.data_centre.clone()),
+            spillovers: BTreeMap::new(),
             targets: TargetTable::new(setup.id.clone(), CookieHasher::new(setup.flow_key)),
             slow_targets: SlowTargets::new(setup.id.clone(), setup.data_centre.clone()),
             setup,
@@ -178,6 +185,59 @@
         self.rooms.get(service)
     }
 
+    /// Recomputes the rooms if that is due, and the share of each service's new flows that go to
+    /// other data centres. Returns whether it was due.
+    pub fn refresh_rooms(&mut self, now: Instant) -> bool {
+        let rooms = self.room_table.refresh(&self.targets, &self.view, now);
+        let Some(rooms) = rooms else { return false };
+        self.set_rooms(rooms);
+        self.update_spillovers(now);
+        true
+    }
+
+    /// Updates the spillover of each service from its room.
+    fn update_spillovers(&mut self, now: Instant) {
+        self.spillovers.retain(|service, _| self.rooms.contains_key(service));
+        for (service, room) in &self.rooms {
+            let plan = spillover::plan(room, &self.setup.data_centre);
+            let traffic = self.room_table.demand.traffic(service, now);
+            let spillover = self.spillovers.entry(service.clone()).or_default();
+            spillover.update(plan, traffic, now);
+        }
+    }
+
+    /// Returns the room and the spillover of the services that have demand, ordered by name.
+    pub fn rooms_with_demand(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceId, &ServiceRoom, &Spillover)> {
+        let services = self.spillovers.iter();
+        let rooms = services.filter_map(|(name, it)| Some((name, self.rooms.get(name)?, it)));
+        rooms.filter(|(_, room, _)| {
+            let mut demands = room.data_centres.iter().filter_map(|it| it.demand);
+            demands.any(|demand| demand.requests_per_second > 0.0)
+        })
+    }
+
+    /// Returns the spillover of each service, ordered by name.
+    pub fn spillovers(&self) -> &BTreeMap<ServiceId, Spillover> {
+        &self.spillovers
+    }
+
+    /// Records another instance's report on the demand of callers.
+    pub fn on_demand_report(&mut self, from: &Member, report: &DemandReport, now: Instant) {
+        self.room_table.exchange.on_report(from, report, &self.view, now);
+    }
+
+    /// Returns the time between two reports on the demand of callers to other instances.
+    pub fn demand_report_interval(&self) -> Duration {
+        self.room_table.report_interval()
+    }
+
+    /// Returns the report on the demand of callers for an instance of a data centre.
+    pub fn demand_report(&self, receiver: &DataCentreId, now: Instant) -> DemandReport {
+        self.room_table.exchange.report_for(receiver, now)
+    }
+
     /// Applies a part of the directory that has changed.
     pub fn update(&mut self, directory: &Directory, part: Part, now: Instant) {
         match part {
@@ -478,8 +538,9 @@
     }
 
     fn open_flow(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
+        let hash = self.hash(segment);
         let service = match self.routes.lookup(&segment.ends.service) {
-            RouteLookup::Route(entry) => entry.select_service(self.hash(segment)).cloned(),
+            RouteLookup::Route(entry) => entry.select_service(hash).cloned(),
             RouteLookup::Removed | RouteLookup::Unknown => return self.reject_unknown_address(now),
         };
         let Some(service) = service else { return CookieVerdict::Reset(ResetReason::NoTarget) };
@@ -487,9 +548,15 @@
         if let Some(last) = self.watch.half_open(&segment.ends).map(|opening| opening.target) {
             self.targets.health_mut(last).record_failure(now);
         }
-        match self.choose_target(&service, now) {
-            Some(index) => self.forward_opening(segment, index, now),
-            None => CookieVerdict::Reset(ResetReason::NoTarget),
+        match self.choose_target(&service, hash, now) {
+            Some(index) => {
+                self.room_table.demand.record_opening(&service, now);
+                self.forward_opening(segment, index, now)
+            }
+            None => {
+                self.room_table.demand.record_refused(&service, now);
+                CookieVerdict::Reset(ResetReason::NoTarget)
+            }
         }
     }
 
@@ -517,10 +584,12 @@
         }
     }
 
-    fn choose_target(&self, service: &str, now: Instant) -> Option<usize> {
+    fn choose_target(&self, service: &str, hash: FlowHash, now: Instant) -> Option<usize> {
+        let spillover = self.spillovers.get(service);
+        let destination = spillover.and_then(|spillover| spillover.destination(hash));
         let choice = TargetChoice {
             instance: &self.setup.id,
-            data_centre: &self.setup.data_centre,
+            data_centre: destination.unwrap_or(&self.setup.data_centre),
             cold_start_limit: self.setup.cold_start_limit,
             targets: &self.targets,
             routes: &self.routes,
@@ -572,6 +641,11 @@
         if let Some(answer) = seen.answer {
             self.record_answer(&segment.ends.service, &answer, now);
         }
+        if seen.starts_request {
+            let registration = &self.targets.get(index).registration;
+            let is_remote = registration.data_centre != self.setup.data_centre;
+            self.room_table.demand.record_request(&registration.service, is_remote, now);
+        }
         if seen.is_progress && !self.targets.get(index).health().has_no_failures() {
             let finding = self.targets.health_mut(index).record_progress();
             self.apply_finding(index, finding, now, true);
@@ -585,6 +659,8 @@
 
     fn record_answer(&mut self, address: &SocketAddrV4, answer: &AnswerTime, now: Instant) {
         self.timings.push(FlowTiming::Answered(answer.response_time));
+        let service = &self.targets.get(answer.target).registration.service;
+        self.room_table.demand.record_answer(service, answer, now);
         self.observe_answer(address, answer, now);
     }
 
