--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -21,9 +21,14 @@
 use crate::health_check::CheckOutcome;
 use crate::ids::{DataCentreId, FlowHash, InstanceId, ServiceId, TargetId};
 use crate::log_message::CONDITION;
+use crate::opening::{first_transmission, Opening, OpeningDecision};
+use crate::opening_admission::{OpeningAdmission, OpeningOutcome};
+use crate::opening_queue::HeldOpening;
 use crate::room::ServiceRoom;
 use crate::route::{Part, RecordBody};
 use crate::route_table::{RouteLookup, RouteTable};
+use crate::route_work::RouteWork;
+use crate::scarce_room::ScarceRoom;
 use crate::segment::Segment;
 use crate::target_choice::TargetChoice;
 use crate::target_health::{HealthTransition, HANDSHAKE_TIMEOUT};
@@ -103,6 +108,8 @@
     watch: FlowTracker,
     view: Arc<View>,
     rooms: HashMap<ServiceId, ServiceRoom>,
+    admission: OpeningAdmission,
+    work: RouteWork,
     routing_confirmed_at: Option<Instant>,
     condition_changes: Vec<ConditionChange>,
     timings: Vec<FlowTiming>,
@@ -120,6 +127,8 @@
             watch: FlowTracker::default(),
             view: Arc::default(),
             rooms: HashMap::default(),
+            admission: OpeningAdmission::new(Box::new(ScarceRoom::default())),
+            work: RouteWork::default(),
             routing_confirmed_at: None,
             condition_changes: Vec::new(),
             timings: Vec::new(),
@@ -157,10 +166,35 @@
         self.rooms.get(service)
     }
 
+    /// Returns the work of the requests of each route, as far as this instance has learned it.
+    pub fn route_work(&self) -> &RouteWork {
+        &self.work
+    }
+
+    /// Returns the number of openings that are held until their service has room.
+    pub fn held_openings(&self) -> usize {
+        self.admission.held()
+    }
+
+    /// Returns the openings that were held, released or refused since the last call.
+    pub fn take_opening_outcomes(&mut self) -> Vec<OpeningOutcome> {
+        self.admission.take_outcomes()
+    }
+
+    /// Places all held openings in order. From now on openings are placed at once.
+    pub fn close_openings(&mut self, now: Instant) {
+        self.admission.close();
+        self.release_openings(now);
+    }
+
     /// Applies a part of the directory that has changed.
     pub fn update(&mut self, directory: &Directory, part: Part, now: Instant) {
         match part {
-            Part::Routing => self.routes.rebuild(directory),
+            Part::Routing => {
+                self.routes.rebuild(directory);
+                self.admission.set_routes(&self.routes);
+                self.release_rerouted_openings(now);
+            }
             Part::Targets => {
                 for (_, body) in directory.records(Part::Targets) {
                     if let RecordBody::Registration(registration) = body {
@@ -185,18 +219,25 @@
         self.routing_confirmed_at.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Returns the verdict on a packet of a caller.
+    /// Returns the verdict on a packet of a caller, of which only the header is known.
     pub fn on_segment(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
+        self.on_packet(segment, &[], now)
+    }
+
+    /// Returns the verdict on a packet of a caller. Keeps a copy of the packet if it is held.
+    pub fn on_packet(&mut self, segment: &Segment, packet: &[u8], now: Instant) -> CookieVerdict {
         if segment.control.opens {
-            self.open_flow(segment, now)
+            self.open_flow(segment, packet, now)
         } else {
             self.forward_open(segment, now)
         }
     }
 
-    /// Counts unanswered openings against their targets, expires old state, and returns the health
+    /// Releases held openings, counts unanswered openings against their targets, expires old state, and returns the health
     /// checks that are due.
     pub fn tick(&mut self, now: Instant) -> Vec<DueCheck> {
+        self.release_openings(now);
+        self.admission.expire_released(HANDSHAKE_TIMEOUT, now);
         for target in self.watch.take_unanswered(now, HANDSHAKE_TIMEOUT) {
             self.targets.health_mut(target).record_failure(now);
         }
@@ -311,17 +352,90 @@
         self.targets.set_outages(|data_centre| out.contains(data_centre), now);
     }
 
-    fn open_flow(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
-        let service = match self.routes.lookup(&segment.ends.service) {
-            RouteLookup::Route(entry) => entry.select_service(self.hash(segment)).cloned(),
-            RouteLookup::Removed | RouteLookup::Unknown => return self.reject_unknown_address(now),
+    fn open_flow(&mut self, segment: &Segment, packet: &[u8], now: Instant) -> CookieVerdict {
+        let is_held = self.admission.replace_copy(segment, packet);
+        self.release_openings(now);
+        if is_held {
+            return CookieVerdict::Hold;
+        }
+        let opening = match self.opening(segment, now) {
+            Ok(opening) => opening,
+            Err(verdict) => return verdict,
         };
-        let Some(service) = service else { return CookieVerdict::Reset(ResetReason::NoTarget) };
-        // The failure makes the target suspected, so that a retransmission goes to another one.
+        let service = opening.service.clone();
         if let Some(last) = self.watch.half_open(&segment.ends).map(|opening| opening.target) {
+            // A copy that follows the release of a held opening closely does not show a failure.
+            if self.admission.was_released(&segment.ends, HANDSHAKE_TIMEOUT, now)
+                && self.targets.get(last).accepts_new_flows()
+            {
+                return self.forward_opening(segment, last, now);
+            }
+            // The failure makes the target suspected, so that a retransmission goes to another one.
             self.targets.health_mut(last).record_failure(now);
+        } else {
+            match self.admission.admit(opening, (segment, packet), &self.rooms, now) {
+                OpeningDecision::Place => {}
+                OpeningDecision::Hold => return CookieVerdict::Hold,
+                OpeningDecision::Refuse(reason) => return CookieVerdict::Reset(reason),
+            }
+        }
+        self.place(segment, &service, now)
+    }
+
+    /// Returns the opening that a packet asks for, or the verdict on the packet if its address has no
+    /// route or the route has no service.
+    fn opening(&self, segment: &Segment, now: Instant) -> Result<Opening, CookieVerdict> {
+        let entry = match self.routes.lookup(&segment.ends.service) {
+            RouteLookup::Route(entry) => entry,
+            RouteLookup::Removed | RouteLookup::Unknown => {
+                return Err(self.reject_unknown_address(now));
+            }
+        };
+        let service = entry.select_service(self.hash(segment));
+        let service = service.ok_or(CookieVerdict::Reset(ResetReason::NoTarget))?;
+        let route = &entry.route;
+        Ok(Opening {
+            ends: segment.ends,
+            service: service.clone(),
+            precedence: route.precedence,
+            aim: route.aim,
+            timeout: route.timeout,
+            work: self.work.work(&route.name, service).unwrap_or_default(),
+            first_seen_at: first_transmission(segment, now),
+        })
+    }
+
+    /// Places or refuses the held openings that need not wait any longer.
+    fn release_openings(&mut self, now: Instant) {
+        if self.admission.held() == 0 {
+            return;
+        }
+        for (held, decision) in self.admission.take_decided(&self.rooms, now) {
+            let verdict = match decision {
+                OpeningDecision::Refuse(reason) => CookieVerdict::Reset(reason),
+                _ => self.place(&held.segment, &held.opening.service, now),
+            };
+            self.admission.finish(held, verdict, &self.rooms, now);
         }
-        match self.choose_target(&service, now) {
+    }
+
+    /// Places the held openings whose route has changed, and rejects those whose route was removed.
+    fn release_rerouted_openings(&mut self, now: Instant) {
+        for held in self.admission.take_held(now) {
+            let verdict = match self.opening(&held.segment, now) {
+                Ok(opening) if has_same_route(&opening, &held) => {
+                    self.admission.put_back(held);
+                    continue;
+                }
+                Ok(opening) => self.place(&held.segment, &opening.service, now),
+                Err(verdict) => verdict,
+            };
+            self.admission.finish(held, verdict, &self.rooms, now);
+        }
+    }
+
+    fn place(&mut self, segment: &Segment, service: &str, now: Instant) -> CookieVerdict {
+        match self.choose_target(service, now) {
             Some(index) => self.forward_opening(segment, index, now),
             None => CookieVerdict::Reset(ResetReason::NoTarget),
         }
@@ -402,7 +516,11 @@
         let seen = self.watch.record_segment(segment, index, now);
         self.timings.extend(seen.handshake_time.map(FlowTiming::Opened));
         if let Some(answer) = seen.answer {
-            self.record_answer(&answer);
+            self.record_answer(&answer, segment, now);
+        }
+        if seen.begins_later_request {
+            let service = &self.targets.get(index).registration.service;
+            self.admission.record_request(service, &self.rooms, now);
         }
         if seen.is_progress && !self.targets.get(index).health().has_no_failures() {
             let finding = self.targets.health_mut(index).record_progress();
@@ -415,8 +533,12 @@
         verdict
     }
 
-    fn record_answer(&mut self, answer: &AnswerTime) {
+    fn record_answer(&mut self, answer: &AnswerTime, segment: &Segment, now: Instant) {
         self.timings.push(FlowTiming::Answered(answer.response_time));
+        let RouteLookup::Route(entry) = self.routes.lookup(&segment.ends.service) else { return };
+        let Some(work) = answer.work() else { return };
+        let service = &self.targets.get(answer.target).registration.service;
+        self.work.record(&entry.route.name, service, work, now);
     }
 
     fn apply_finding(
@@ -458,6 +580,12 @@
     }
 }
 
+/// Returns whether a held opening would be the same with the routes in force.
+fn has_same_route(opening: &Opening, held: &HeldOpening) -> bool {
+    let requirements = |it: &Opening| (it.service.clone(), it.precedence, it.aim, it.timeout);
+    requirements(opening) == requirements(&held.opening)
+}
+
 /// Returns whether a due health check of a target is made. Without new flows, a few failed checks
 /// are enough.
 fn is_worth_checking(entry: &TargetEntry) -> bool {
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -27,6 +27,7 @@
 use crate::logging;
 use crate::metrics::{Metrics, PartLabel};
 use crate::network::Network;
+use crate::opening_admission::OpeningOutcome;
 use crate::packet_hold::PacketHold;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
@@ -288,16 +289,58 @@
 
     /// Decides on a packet of a caller and carries the decision out.
     fn forward(&self, now: Instant, segment: &Segment, buf: &[u8], out: &mut Vec<u8>) {
-        let (verdict, timings) = {
+        let (verdict, timings, openings) = {
             let mut forwarder = self.forwarder.lock();
-            let verdict = forwarder.on_segment(segment, now);
+            let verdict = forwarder.on_packet(segment, buf, now);
             if let Some(decision) = verdict.decision() {
                 self.log.log_decision(decision, segment, &forwarder, now);
             }
-            (verdict, forwarder.take_timings())
+            let openings = self.take_opening_outcomes(&mut forwarder, now);
+            (verdict, forwarder.take_timings(), openings)
         };
         self.record_timings(&timings);
+        self.carry_out_openings(now, &openings, out);
+        self.carry_out(now, verdict, segment, buf, out);
+    }
+
+    /// Returns the outcomes of openings since the last call, and logs them.
+    fn take_opening_outcomes(
+        &self,
+        forwarder: &mut CookieForwarder,
+        now: Instant,
+    ) -> Vec<OpeningOutcome> {
+        let outcomes = forwarder.take_opening_outcomes();
+        for outcome in &outcomes {
+            self.log.log_opening(outcome, now);
+            let Some(packet) = &outcome.packet else { continue };
+            if let Some(decision) = packet.verdict.decision() {
+                self.log.log_decision(decision, &packet.segment, forwarder, now);
+            }
+        }
+        outcomes
+    }
+
+    /// Carries out the verdicts on openings that are no longer held.
+    fn carry_out_openings(&self, now: Instant, outcomes: &[OpeningOutcome], out: &mut Vec<u8>) {
+        for outcome in outcomes {
+            Metrics::count(&self.metrics.openings, outcome.outcome);
+            let Some(packet) = &outcome.packet else { continue };
+            self.metrics.opening_wait.observe(outcome.waited.as_secs_f64());
+            self.carry_out(now, packet.verdict, &packet.segment, &packet.datagram, out);
+        }
+    }
+
+    /// Carries out the verdict on a packet of a caller.
+    fn carry_out(
+        &self,
+        now: Instant,
+        verdict: CookieVerdict,
+        segment: &Segment,
+        buf: &[u8],
+        out: &mut Vec<u8>,
+    ) {
         match verdict {
+            CookieVerdict::Hold => Metrics::count(&self.metrics.packets, "waits_for_room"),
             CookieVerdict::Forward { to, token, cookie, opens } => {
                 out.clear();
                 self.format.encode_for_target(buf, token, cookie, out);
@@ -367,12 +410,13 @@
             directory_state.purge(now);
             directory_state.directory.confirmed_at(Part::Routing)
         };
-        let checks = {
+        let (checks, openings) = {
             let mut forwarder = self.forwarder.lock();
             forwarder.set_view(view);
             forwarder.set_routing_confirmed(confirmed);
-            forwarder.tick(now)
+            (forwarder.tick(now), self.take_opening_outcomes(&mut forwarder, now))
         };
+        self.carry_out_openings(now, &openings, &mut Vec::new());
         self.announce_condition_changes();
         self.send_heartbeat(now);
         self.send_repair_requests(now);
@@ -392,9 +436,16 @@
         self.announce_condition_changes();
     }
 
-    /// Announces to other instances that this one is leaving. From then on it is not ready.
+    /// Places held openings, and announces to other instances that this one is leaving. From then on
+    /// it is not ready.
     pub fn leave(&self, now: Instant) {
         self.is_leaving.store(true, Ordering::Relaxed);
+        let openings = {
+            let mut forwarder = self.forwarder.lock();
+            forwarder.close_openings(now);
+            self.take_opening_outcomes(&mut forwarder, now)
+        };
+        self.carry_out_openings(now, &openings, &mut Vec::new());
         let outgoing = self.gossip.lock().leave(now);
         self.send_gossip(outgoing);
     }
--- a/lib/src/cookie_verdict.rs
+++ b/lib/src/cookie_verdict.rs
@@ -48,6 +48,10 @@
     /// The flow's target has ended, since its address belongs to a target that started later. No
     /// request of the flow can be answered any more.
     TargetEnded,
+    /// The service has no room within the time for which an opening can wait.
+    NoRoom,
+    /// The service has no room, and the request can't be answered before its timeout.
+    NoTime,
 }
 
 impl ResetReason {
@@ -59,11 +63,13 @@
             ResetReason::NoTarget => "no_target",
             ResetReason::TargetDown => "target_down",
             ResetReason::TargetEnded => "target_ended",
+            ResetReason::NoRoom => "no_room",
+            ResetReason::NoTime => "no_time",
         }
     }
 }
 
-/// Verdict on a packet: the forwarder sends it to a target, resets its flow or drops it.
+/// Verdict on a packet: the forwarder sends it to a target, holds it, resets its flow or drops it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CookieVerdict {
     /// The packet is sent to a target.
@@ -77,6 +83,8 @@
         /// Whether the packet opens a flow.
         opens: bool,
     },
+    /// The packet waits at this instance until the service has room.
+    Hold,
     /// The flow is reset at its caller.
     Reset(ResetReason),
     /// The packet is discarded without a response.
@@ -90,6 +98,7 @@
         let (outcome, reason) = match self {
             Self::Forward { opens: false, .. } => return None,
             Self::Forward { opens: true, .. } => ("placed", "opened"),
+            Self::Hold => ("held", "scarce_room"),
             Self::Reset(reason) => ("reset", reason.label()),
             Self::Drop(reason) => ("dropped", reason.label()),
         };
@@ -100,8 +109,8 @@
 /// Decision on a flow, in the labels that logs and metrics use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Decision {
-    /// Outcome for the flow: `placed`, `reset` or `dropped`.
+    /// Outcome for the flow: `placed`, `held`, `reset` or `dropped`.
     pub outcome: &'static str,
-    /// Reason for the outcome: `opened`, or the label of a [`ResetReason`] or [`DropReason`].
+    /// Reason for the outcome: `opened`, `scarce_room`, or the label of a [`ResetReason`] or [`DropReason`].
     pub reason: &'static str,
 }
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -8,15 +8,20 @@
 use crate::decision_log::DecisionLogLimit;
 use crate::directory::Directory;
 use crate::ids::TargetId;
-use crate::log_message::{DECISION, OUTAGES, REGISTRATION, ROUTING};
+use crate::log_message::{DECISION, OPENING, OUTAGES, REGISTRATION, ROUTING};
+use crate::opening_admission::OpeningOutcome;
+use crate::room::ServiceRoom;
 use crate::route::Part;
 use crate::segment::Segment;
 use crate::target_table::RegistrationChange;
 
+const MICROS_PER_MILLI: i64 = 1_000;
+
 /// Writes log lines within the rate limit of their kind.
 #[derive(Debug, Default)]
 pub struct FlowLog {
     limit: DecisionLogLimit,
+    opening_limit: DecisionLogLimit,
 }
 
 impl FlowLog {
@@ -50,6 +55,28 @@
         );
     }
 
+    /// Logs the outcome of an opening with the inputs of the decision. A figure that is missing is
+    /// logged as -1.
+    pub fn log_opening(&self, outcome: &OpeningOutcome, now: Instant) {
+        let Some(left_out) = self.opening_limit.allow(outcome.outcome, now) else { return };
+        let (opening, room) = (&outcome.opening, outcome.room.as_ref());
+        let demand = room.and_then(ServiceRoom::demand);
+        let whole = |figure: Option<f64>| figure.map_or(-1, |figure| figure as i64);
+        log::info!(
+            caller:% = opening.ends.caller, service:% = opening.ends.service,
+            outcome = outcome.outcome, precedence = opening.precedence,
+            waited_ms = outcome.waited.as_millis() as u64,
+            slack_ms = outcome.slack_micros / MICROS_PER_MILLI,
+            work_ms = opening.work.as_millis() as u64,
+            capacity = whole(room.and_then(ServiceRoom::capacity_per_second)),
+            demand = whole(demand.map(|demand| demand.requests_per_second)),
+            turned_away = whole(demand.map(|demand| demand.turned_away_per_second)),
+            own_share_per_mille = whole(room.and_then(|room| room.own_share).map(|it| it * 1e3)),
+            left_out;
+            "{OPENING}"
+        );
+    }
+
     /// Logs the change of a part of the directory after the forwarder has applied it.
     pub fn log_directory_update(
         &self,
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -45,6 +45,8 @@
     last_new_data_at: Instant,
     last_ack: u32,
     running_since: Option<Instant>,
+    /// Whether the caller has sent a request, or may have sent one through another instance.
+    has_request: bool,
     /// Time that the handshake took; `None` if this instance did not see it.
     round_trip: Option<Duration>,
 }
@@ -79,6 +81,8 @@
     /// Time from the first opening packet to this packet; `None` unless this packet is the first
     /// after the opening.
     pub handshake_time: Option<Duration>,
+    /// Whether this packet begins a request that is not the first one of its flow.
+    pub begins_later_request: bool,
     /// Answer that this packet is the first to acknowledge; `None` for all other packets.
     pub answer: Option<AnswerTime>,
 }
@@ -144,6 +148,7 @@
                 last_new_data_at: now,
                 last_ack: segment.ack,
                 running_since: None,
+                has_request: !seen.is_progress,
                 round_trip,
             }),
         };
@@ -168,6 +173,7 @@
             flow.next_seq = segment.seq.wrapping_add(u32::from(segment.data_len));
             if flow.running_since.replace(now).is_none() {
                 *self.running.entry(flow.target).or_default() += 1;
+                seen.begins_later_request = std::mem::replace(&mut flow.has_request, true);
             }
         }
         seen
--- a/lib/src/log_message.rs
+++ b/lib/src/log_message.rs
@@ -3,6 +3,8 @@
 
 /// The instance forwarded the first packet of a flow, dropped a packet, or reset a flow.
 pub const DECISION: &str = "decision on a flow";
+/// The instance held an opening until its service has room, released it, or refused it.
+pub const OPENING: &str = "opening decided by the room of its service";
 /// A target became responsive or unresponsive.
 pub const CONDITION: &str = "condition of a target changed";
 /// A health check of a target completed.
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -33,6 +33,8 @@
     registry: Registry,
     /// Packets of the packet forwarder by outcome.
     pub packets: Family<OutcomeLabel, Counter>,
+    /// Openings that were held, released or refused for lack of room, by outcome.
+    pub openings: Family<OutcomeLabel, Counter>,
     /// Requests of the request gateway by outcome.
     pub requests: Family<OutcomeLabel, Counter>,
     /// Events of the request gateway by kind, such as `retried` and `crossed`.
@@ -53,6 +55,8 @@
     pub config_version: Gauge,
     /// Time from the first opening packet of a flow to its next packet, in seconds.
     pub flow_open: Histogram,
+    /// Time from the first transmission of a held opening to its release or refusal, in seconds.
+    pub opening_wait: Histogram,
     /// Time from the last new data of a caller to its first acknowledgement of an answer, in
     /// seconds.
     pub request_answer: Histogram,
@@ -79,6 +83,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("hollyhead"),
             packets: Family::default(),
+            openings: Family::default(),
             requests: Family::default(),
             request_events: Family::default(),
             refused_datagrams: Family::default(),
@@ -89,6 +94,7 @@
             members: Gauge::default(),
             config_version: Gauge::default(),
             flow_open: duration_histogram(),
+            opening_wait: duration_histogram(),
             request_answer: duration_histogram(),
             directory_age: Family::default(),
             targets_down: Gauge::default(),
@@ -116,6 +122,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("packets", "Packets by outcome", self.packets.clone());
+        registry.register(
+            "openings",
+            "Openings held, released or refused for lack of room by outcome",
+            self.openings.clone(),
+        );
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register(
             "request_events",
@@ -160,6 +171,12 @@
             Unit::Seconds,
             self.flow_open.clone(),
         );
+        registry.register_with_unit(
+            "opening_wait",
+            "Time from the first transmission of a held opening to its release or refusal",
+            Unit::Seconds,
+            self.opening_wait.clone(),
+        );
         registry.register_with_unit(
             "request_answer",
             "Time from a caller's last new data to the first sign of an answer",
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -73,6 +73,11 @@
         self.routes.len()
     }
 
+    /// Returns the routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().map(|entry| &entry.route)
+    }
+
     /// Returns whether the table has no route.
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty()
--- /dev/null
+++ b/lib/src/scarce_room.rs
@@ -0,0 +1,301 @@
+//! Policy for the openings of a service whose callers ask for more than its targets can serve.
+//!
+//! Load pattern: demand beyond the capacity of all targets of a service, spread by a hash over many
+//! instances, from routes of different precedence, latency objective or timeout. Each instance
+//! places openings at its share of the capacity, so that the sum over all instances stays at the
+//! capacity without a message for a flow. The most urgent openings may run ahead of the rate by a
+//! bounded amount, and each precedence keeps a small share. While the figures are missing or
+//! show enough room, every opening is placed at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::collections::{HashMap, HashSet};
+use crate::cookie_verdict::ResetReason;
+use crate::ids::ServiceId;
+use crate::opening::{Opening, OpeningDecision, OpeningPolicy};
+use crate::room::{Demand, ServiceRoom};
+use crate::route::Route;
+use crate::route_table::RouteTable;
+
+/// Longest time from the first transmission of an opening for which it is held. The caller gives
+/// the attempt up after 1.4 s, and the flow has to open and run before.
+pub const MAX_HOLD_TIME: Duration = Duration::from_millis(800);
+/// Shortest limit on the time for which an opening is held; held openings are released in steps of
+/// tens of milliseconds.
+const MIN_HOLD_TIME: Duration = Duration::from_millis(60);
+/// Part of the slack of a request for which one of its attempts is held, as a divisor. The caller
+/// has three attempts, and a request that was held for its whole slack would be answered late and
+/// take the room of one that is answered in time.
+const HOLD_TIME_DIVISOR: u32 = 4;
+/// Rate of placed openings relative to the capacity. The excess keeps a request waiting at each
+/// target, so that no slot idles, and shows whether the targets can serve more than the figures say.
+const PACE_SHARE: f64 = 1.1;
+/// Demand relative to the capacity from which room counts as scarce.
+const SCARCE_DEMAND_SHARE: f64 = 0.95;
+/// Demand relative to the limit in force below which room no longer counts as scarce.
+const AMPLE_DEMAND_SHARE: f64 = 0.85;
+/// Share of requests turned away by full targets from which room counts as scarce.
+const SCARCE_TURNED_AWAY_SHARE: f64 = 0.1;
+/// Share of requests turned away by full targets below which room no longer counts as scarce.
+const AMPLE_TURNED_AWAY_SHARE: f64 = 0.05;
+/// Share of requests turned away from which the limit follows what the targets serve. An urgent
+/// request that is turned away once is served on its next attempt.
+const EXCESSIVE_TURNED_AWAY_SHARE: f64 = 0.2;
+/// Part of the limit by which it may rise in a second after it was lowered. Targets that were full
+/// for a moment serve as much as before soon after.
+const LIMIT_GROWTH_PER_SECOND: f64 = 1.0;
+/// Part of the capacity below which the limit is never lowered.
+const MIN_LIMIT_SHARE: f64 = 0.5;
+/// Lowest rate of one instance, in requests per second, which serves callers that arrive before
+/// the figure of their share does.
+const MIN_RATE: f64 = 1.0;
+/// Time for which unused room is kept.
+const BURST_TIME: Duration = Duration::from_millis(150);
+/// Time by which openings may run ahead of the rate for each less urgent precedence that is in use.
+/// The queues of the targets absorb it.
+const OVERDRAFT_TIME: Duration = Duration::from_millis(100);
+/// Least number of requests that an opening may run ahead for each less urgent precedence.
+const MIN_OVERDRAFT: f64 = 3.0;
+const MAX_OVERDRAFT_STEPS: usize = 3;
+/// Share of the rate that each precedence keeps.
+pub const GUARANTEED_SHARE: f64 = 0.05;
+/// Time without an opening after which a precedence no longer counts as in use.
+const PRECEDENCE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Figures of a service that the policy depends on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoomFigures {
+    /// Requests per second that all targets can serve.
+    pub capacity: f64,
+    /// Requests per second that the callers of all data centres send.
+    pub demand: Demand,
+    /// Share of the demand that arrives at this instance.
+    pub own_share: f64,
+}
+
+impl RoomFigures {
+    /// Returns the figures of a service; `None` if one of them is missing.
+    pub fn of(room: &ServiceRoom) -> Option<Self> {
+        let (capacity, demand) = (room.capacity_per_second()?, room.demand()?);
+        let own_share = room.own_share?;
+        let is_valid = [capacity, demand.requests_per_second, own_share].iter().all(is_usable);
+        is_valid.then_some(Self { capacity, demand, own_share })
+    }
+
+    fn turned_away_share(&self) -> f64 {
+        self.demand.turned_away_per_second / self.demand.requests_per_second.max(1.0)
+    }
+}
+
+/// Policy that places the openings of a service with too little room by their urgency, at this
+/// instance's share of the capacity.
+#[derive(Debug, Default)]
+pub struct ScarceRoom {
+    /// Services with routes of different precedence, latency objective or timeout.
+    ranked: HashSet<ServiceId>,
+    paces: HashMap<ServiceId, Pace>,
+}
+
+impl ScarceRoom {
+    /// Sets the services whose routes differ in precedence, latency objective or timeout.
+    pub fn set_ranked_services<'a>(&mut self, routes: impl Iterator<Item = &'a Route>) {
+        let mut requirements = HashMap::<&ServiceId, (u8, Duration, Duration)>::default();
+        self.ranked.clear();
+        for route in routes {
+            let own = (route.precedence, route.aim, route.timeout);
+            for share in &route.services {
+                if *requirements.entry(&share.service).or_insert(own) != own {
+                    self.ranked.insert(share.service.clone());
+                }
+            }
+        }
+        self.paces.retain(|service, _| self.ranked.contains(service));
+    }
+
+    /// Returns the up-to-date pace of a service; `None` if the policy does not apply to it.
+    fn pace(
+        &mut self,
+        service: &ServiceId,
+        room: Option<&ServiceRoom>,
+        now: Instant,
+    ) -> Option<&mut Pace> {
+        let figures = room.and_then(RoomFigures::of).filter(|_| self.ranked.contains(service));
+        let Some(figures) = figures else {
+            self.paces.remove(service);
+            return None;
+        };
+        let new_pace = || Pace::new(figures.capacity, now);
+        let pace = self.paces.entry(service.clone()).or_insert_with(new_pace);
+        pace.update(&figures, now);
+        Some(pace)
+    }
+}
+
+impl OpeningPolicy for ScarceRoom {
+    fn set_routes(&mut self, routes: &RouteTable) {
+        self.set_ranked_services(routes.routes());
+    }
+
+    fn decide(
+        &mut self,
+        opening: &Opening,
+        room: Option<&ServiceRoom>,
+        ahead: usize,
+        now: Instant,
+    ) -> OpeningDecision {
+        match self.pace(&opening.service, room, now) {
+            Some(pace) => pace.decide(opening, ahead, now),
+            None => OpeningDecision::Place,
+        }
+    }
+
+    fn record_request(&mut self, service: &ServiceId, room: Option<&ServiceRoom>, now: Instant) {
+        if let Some(pace) = self.pace(service, room, now) {
+            pace.balance = (pace.balance - 1.0).max(-pace.overdraft_step());
+        }
+    }
+}
+
+/// Token bucket of one service, with the precedences that use it.
+#[derive(Debug)]
+struct Pace {
+    is_scarce: bool,
+    /// Requests per second that all instances together may place.
+    limit: f64,
+    /// Requests per second that this instance may place.
+    rate: f64,
+    /// Requests that this instance may place now; negative after some ran ahead of the rate.
+    balance: f64,
+    updated_at: Instant,
+    precedences: BTreeMap<u8, Precedence>,
+}
+
+/// State of the openings of one precedence.
+#[derive(Debug)]
+struct Precedence {
+    last_seen_at: Instant,
+    /// Openings that may be placed from the guaranteed share.
+    credit: f64,
+}
+
+impl Pace {
+    fn new(limit: f64, now: Instant) -> Self {
+        let precedences = BTreeMap::new();
+        Self { is_scarce: false, limit, rate: 0.0, balance: 0.0, updated_at: now, precedences }
+    }
+
+    fn update(&mut self, figures: &RoomFigures, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        self.update_limit(figures, elapsed);
+        let was_scarce = self.is_scarce;
+        self.is_scarce = self.is_scarce_now(figures);
+        self.rate = (self.limit * PACE_SHARE * figures.own_share).max(MIN_RATE);
+        if !was_scarce {
+            self.balance = 0.0;
+            self.precedences.values_mut().for_each(|it| it.credit = 0.0);
+            return;
+        }
+        let burst = (self.rate * BURST_TIME.as_secs_f64()).max(1.0);
+        self.balance = (self.balance + self.rate * elapsed).min(burst);
+        for precedence in self.precedences.values_mut() {
+            let credit = precedence.credit + self.rate * GUARANTEED_SHARE * elapsed;
+            precedence.credit = credit.min(1.0);
+        }
+    }
+
+    /// Lowers the limit to what the targets serve while they turn away many requests, and raises it
+    /// to the capacity once they turn away few.
+    fn update_limit(&mut self, figures: &RoomFigures, elapsed: f64) {
+        let turned_away = figures.turned_away_share();
+        if turned_away > EXCESSIVE_TURNED_AWAY_SHARE {
+            self.limit = self.limit.min(figures.demand.served_per_second());
+        } else if !self.is_scarce {
+            self.limit = figures.capacity;
+        } else if turned_away < SCARCE_TURNED_AWAY_SHARE {
+            self.limit *= 1.0 + LIMIT_GROWTH_PER_SECOND * elapsed;
+        }
+        let lowest = figures.capacity * MIN_LIMIT_SHARE;
+        self.limit = self.limit.clamp(lowest, figures.capacity);
+    }
+
+    fn is_scarce_now(&self, figures: &RoomFigures) -> bool {
+        let (demand, turned_away) =
+            (figures.demand.requests_per_second, figures.turned_away_share());
+        if self.is_scarce {
+            demand > self.limit * AMPLE_DEMAND_SHARE || turned_away > AMPLE_TURNED_AWAY_SHARE
+        } else {
+            demand > figures.capacity * SCARCE_DEMAND_SHARE
+                || turned_away > SCARCE_TURNED_AWAY_SHARE
+        }
+    }
+
+    fn decide(&mut self, opening: &Opening, ahead: usize, now: Instant) -> OpeningDecision {
+        let new_precedence = || Precedence { last_seen_at: now, credit: 0.0 };
+        let precedence = self.precedences.entry(opening.precedence).or_insert_with(new_precedence);
+        precedence.last_seen_at = now;
+        if !self.is_scarce {
+            return OpeningDecision::Place;
+        }
+        if self.take_room(opening.precedence, now) {
+            return OpeningDecision::Place;
+        }
+        let waited = opening.waited(now);
+        let wait = Duration::try_from_secs_f64(ahead as f64 / self.rate).unwrap_or(Duration::MAX);
+        let placed_after = waited.saturating_add(wait);
+        let answered_after = placed_after.saturating_add(opening.work);
+        if !opening.timeout.is_zero() && answered_after >= opening.timeout {
+            OpeningDecision::Refuse(ResetReason::NoTime)
+        } else if placed_after >= hold_limit(opening) {
+            OpeningDecision::Refuse(ResetReason::NoRoom)
+        } else {
+            OpeningDecision::Hold
+        }
+    }
+
+    /// Takes the room for one request, and returns whether there was any.
+    fn take_room(&mut self, precedence: u8, now: Instant) -> bool {
+        let has_room = self.balance > -self.overdraft(precedence, now);
+        if !has_room && !self.take_guaranteed(precedence) {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+
+    /// Takes one request from the guaranteed share of a precedence, and returns whether there was
+    /// one.
+    fn take_guaranteed(&mut self, precedence: u8) -> bool {
+        let Some(state) = self.precedences.get_mut(&precedence) else { return false };
+        if state.credit < 1.0 {
+            return false;
+        }
+        state.credit -= 1.0;
+        true
+    }
+
+    /// Returns the number of requests by which openings of a precedence may run ahead of the rate:
+    /// a step for each less urgent precedence that is in use.
+    fn overdraft(&self, precedence: u8, now: Instant) -> f64 {
+        let lower = self.precedences.range(precedence..).skip(1);
+        let in_use = lower.filter(|(_, it)| now < it.last_seen_at + PRECEDENCE_TIMEOUT);
+        in_use.take(MAX_OVERDRAFT_STEPS).count() as f64 * self.overdraft_step()
+    }
+
+    fn overdraft_step(&self) -> f64 {
+        (self.rate * OVERDRAFT_TIME.as_secs_f64()).max(MIN_OVERDRAFT)
+    }
+}
+
+/// Returns the time from the first transmission of an opening for which it may be held.
+fn hold_limit(opening: &Opening) -> Duration {
+    let limit = opening.slack() / HOLD_TIME_DIVISOR;
+    limit.clamp(MIN_HOLD_TIME, MAX_HOLD_TIME)
+}
+
+fn is_usable(figure: &f64) -> bool {
+    figure.is_finite() && *figure >= 0.0
+}
