--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -40,8 +40,11 @@
 /// Demand relative to the limit in force below which room no longer counts as scarce. Less than
 /// [`PACE_SHARE`], so that paced openings alone do not end the scarcity.
 const AMPLE_DEMAND_SHARE: f64 = 1.03;
-/// Share of requests turned away by full targets from which room counts as scarce.
+/// Share of requests of all instances turned away by full targets from which room counts as scarce.
 const SCARCE_TURNED_AWAY_SHARE: f64 = 0.1;
+/// Share among the recent answers at this instance from which room counts as scarce. They are few,
+/// so a smaller share may be chance.
+const SCARCE_RECENT_SHARE: f64 = 0.3;
 /// Share of requests turned away by full targets below which room no longer counts as scarce.
 const AMPLE_TURNED_AWAY_SHARE: f64 = 0.05;
 /// Share of requests turned away from which the limit follows what the targets serve. An urgent
@@ -49,9 +52,9 @@
 const EXCESSIVE_TURNED_AWAY_SHARE: f64 = 0.2;
 /// Part of the limit by which it may rise in a second after it was lowered. Targets that were full
 /// for a moment serve as much as before soon after.
-const LIMIT_GROWTH_PER_SECOND: f64 = 1.0;
+const LIMIT_GROWTH_PER_SECOND: f64 = 2.0;
 /// Part of the capacity below which the limit is never lowered.
-const MIN_LIMIT_SHARE: f64 = 0.5;
+const MIN_LIMIT_SHARE: f64 = 0.7;
 /// Lowest rate of one instance, in requests per second, which serves callers that arrive before
 /// the figure of their share does.
 const MIN_RATE: f64 = 1.0;
@@ -69,9 +72,9 @@
 /// older sum over all instances, so it is wrong while either changes.
 const OWN_SHARE_TIME_CONSTANT: Duration = Duration::from_secs(5);
 /// Number of recent answers that are averaged.
-const MAX_RECENT_ANSWERS: u32 = 24;
+const MAX_RECENT_ANSWERS: u32 = 12;
 /// Number of answers from which their average is used.
-const MIN_RECENT_ANSWERS: u32 = 12;
+const MIN_RECENT_ANSWERS: u32 = 8;
 /// Time without an answer after which the average is out of date.
 const RECENT_ANSWER_AGE: Duration = Duration::from_secs(1);
 /// Time without an opening after which a precedence no longer counts as in use.
@@ -295,7 +298,8 @@
             demand > self.limit * AMPLE_DEMAND_SHARE || turned_away > AMPLE_TURNED_AWAY_SHARE
         } else {
             demand > figures.capacity * SCARCE_DEMAND_SHARE
-                || turned_away > SCARCE_TURNED_AWAY_SHARE
+                || figures.turned_away_share() > SCARCE_TURNED_AWAY_SHARE
+                || turned_away > SCARCE_RECENT_SHARE
         }
     }
 
