--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -536,9 +536,9 @@
     fn record_answer(&mut self, answer: &AnswerTime, segment: &Segment, now: Instant) {
         self.timings.push(FlowTiming::Answered(answer.response_time));
         let RouteLookup::Route(entry) = self.routes.lookup(&segment.ends.service) else { return };
-        let Some(work) = answer.work() else { return };
         let service = &self.targets.get(answer.target).registration.service;
-        self.work.record(&entry.route.name, service, work, now);
+        let kind = self.work.record(&entry.route.name, service, answer, now);
+        self.admission.record_answer(service, kind, now);
     }
 
     fn apply_finding(
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -27,7 +27,7 @@
 use crate::logging;
 use crate::metrics::{Metrics, PartLabel};
 use crate::network::Network;
-use crate::opening_admission::OpeningOutcome;
+use crate::opening_admission::{OpeningOutcome, Rooms};
 use crate::packet_hold::PacketHold;
 use crate::peer_link::{PeerLink, PeerLinkSetup};
 use crate::platform::ListedInstance;
@@ -202,6 +202,11 @@
         f(&self.forwarder.lock())
     }
 
+    /// Sets the room of the services, which replaces the former figures.
+    pub fn set_rooms(&self, rooms: Rooms) {
+        self.forwarder.lock().set_rooms(rooms);
+    }
+
     /// Applies those changed settings that can change without a restart.
     pub fn reload(&self, settings: &Settings) {
         self.forwarder.lock().set_bounds(cold_start_limit(settings), settings.outage_bound);
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -61,6 +61,8 @@
     /// Time that the handshake of the flow took, which a round trip without work takes too; `None`
     /// if this instance did not see it.
     pub round_trip: Option<Duration>,
+    /// Length of the data that the packet acknowledges, in bytes.
+    pub length: u32,
 }
 
 impl AnswerTime {
@@ -158,12 +160,14 @@
         seen.is_retransmission = is_old_data && now >= flow.last_new_data_at + REORDERING_WINDOW;
         if is_before(flow.last_ack, segment.ack) {
             seen.is_progress = true;
+            let length = segment.ack.wrapping_sub(flow.last_ack);
             flow.last_ack = segment.ack;
             if let Some(since) = flow.running_since.take() {
                 seen.answer = Some(AnswerTime {
                     target: flow.target,
                     response_time: now.saturating_duration_since(since),
                     round_trip: flow.round_trip,
+                    length,
                 });
                 decrement(&mut self.running, flow.target);
             }
--- a/lib/src/route_work.rs
+++ b/lib/src/route_work.rs
@@ -2,7 +2,9 @@
 //! from the times that targets took to answer.
 //!
 //! Load pattern: answer times contain the queue of a busy target, and a few requests take several
-//! times as long as the others. A low quantile over a long window is little affected by either.
+//! times as long as the others. A low quantile over a long window is little affected by either. A
+//! full target answers after about as long as its queue takes, so that the time does not tell its
+//! answers from others; they are far shorter than the usual answers of a route.
 
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::collections::HashMap;
+use crate::flow_tracker::AnswerTime;
 use crate::ids::{RouteId, ServiceId};
 
 /// Length of a window. The work is estimated from the current window and the one before.
@@ -19,10 +22,12 @@
 /// Quantile of the answer times that is taken as the work. Higher ones contain the queue of the
 /// targets.
 const WORK_QUANTILE: f64 = 0.25;
-/// Part of the usual work below which an answer counts as turned away. A full target answers
-/// without any work.
-const TURNED_AWAY_DIVISOR: u32 = 8;
+/// Quantile of the lengths of answers that is taken as the usual length.
+const LENGTH_QUANTILE: f64 = 0.5;
+/// Part of the usual length below which an answer counts as turned away.
+const TURNED_AWAY_DIVISOR: u64 = 4;
 const MAX_WORK_MICROS: u64 = 60_000_000;
+const MAX_LENGTH: u64 = 1 << 24;
 /// One significant digit keeps a histogram near 1 KB, and its error is far below the spread of the
 /// samples.
 const SIGNIFICANT_DIGITS: u8 = 1;
@@ -32,7 +37,7 @@
 pub enum Answer {
     /// The target ran the request.
     Served,
-    /// The target answered far too quickly to have run the request, so it was full.
+    /// The target answered far too briefly to have run the request, so it was full.
     TurnedAway,
 }
 
@@ -41,41 +46,47 @@
 pub struct RouteWork {
     routes: HashMap<RouteId, Samples>,
     services: HashMap<ServiceId, Samples>,
+    lengths: HashMap<RouteId, Samples>,
     /// Start of the current window; `None` before the first sample.
     window_start: Option<Instant>,
 }
 
 impl RouteWork {
-    /// Records the time that a target took for a request of a route, without the round trip, and
-    /// returns whether the target ran the request. Answers of full targets do not affect the work.
+    /// Records an answer to a request of a route, and returns whether the target ran the request.
+    /// Answers of full targets affect neither the work nor the usual length.
     pub fn record(
         &mut self,
         route: &RouteId,
         service: &ServiceId,
-        work: Duration,
+        answer: &AnswerTime,
         now: Instant,
     ) -> Answer {
         self.rotate(now);
-        let usual = self.work(route, service);
-        if usual.is_some_and(|usual| work < usual / TURNED_AWAY_DIVISOR) {
+        let usual_length = self.lengths.get(route).and_then(|it| it.value);
+        let length = u64::from(answer.length);
+        if usual_length.is_some_and(|usual| length < usual / TURNED_AWAY_DIVISOR) {
             return Answer::TurnedAway;
         }
-        self.routes.entry(route.clone()).or_default().record(work);
-        self.services.entry(service.clone()).or_default().record(work);
+        self.lengths.entry(route.clone()).or_insert_with(Samples::of_length).record(length);
+        if let Some(work) = answer.work() {
+            let micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+            self.routes.entry(route.clone()).or_insert_with(Samples::of_work).record(micros);
+            self.services.entry(service.clone()).or_insert_with(Samples::of_work).record(micros);
+        }
         Answer::Served
     }
 
     /// Returns the work of a request of a route, or that of its service while the route has too few
     /// samples; `None` if the service has too few as well.
     pub fn work(&self, route: &str, service: &str) -> Option<Duration> {
-        let of_route = self.routes.get(route).and_then(|samples| samples.work);
+        let of_route = self.routes.get(route).and_then(Samples::work);
         of_route.or_else(|| self.service_work(service))
     }
 
     /// Returns the work of a request of a service, over all of its routes; `None` while there are
     /// too few samples.
     pub fn service_work(&self, service: &str) -> Option<Duration> {
-        self.services.get(service).and_then(|samples| samples.work)
+        self.services.get(service).and_then(Samples::work)
     }
 
     /// Starts a new window if it is due, and forgets routes and services without samples in the
@@ -89,48 +100,65 @@
         let keeps_last = age < 2 * WINDOW;
         self.routes.retain(|_, samples| samples.rotate(keeps_last));
         self.services.retain(|_, samples| samples.rotate(keeps_last));
+        self.lengths.retain(|_, samples| samples.rotate(keeps_last));
     }
 }
 
-/// Answer times of the current window and of the one before.
-#[derive(Debug, Default)]
+/// Values of the current window and of the one before, and a quantile of both.
+#[derive(Debug)]
 struct Samples {
+    quantile: f64,
+    max: u64,
     current: Option<Histogram<u32>>,
     previous: Option<Histogram<u32>>,
-    /// Estimate from both windows; `None` while there are too few samples.
-    work: Option<Duration>,
+    /// Quantile of both windows; `None` while there are too few samples.
+    value: Option<u64>,
 }
 
 impl Samples {
-    fn record(&mut self, work: Duration) {
-        let micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
-        self.current = self.current.take().or_else(new_histogram);
+    fn of_work() -> Self {
+        Self::new(WORK_QUANTILE, MAX_WORK_MICROS)
+    }
+
+    fn of_length() -> Self {
+        Self::new(LENGTH_QUANTILE, MAX_LENGTH)
+    }
+
+    fn new(quantile: f64, max: u64) -> Self {
+        Self { quantile, max, current: None, previous: None, value: None }
+    }
+
+    fn work(&self) -> Option<Duration> {
+        self.value.map(Duration::from_micros)
+    }
+
+    fn record(&mut self, value: u64) {
+        self.current = self.current.take().or_else(|| new_histogram(self.max));
         if let Some(current) = &mut self.current {
-            current.saturating_record(micros.clamp(1, MAX_WORK_MICROS));
+            current.saturating_record(value.clamp(1, self.max));
         }
-        self.work = self.estimate();
+        self.value = self.estimate();
     }
 
     /// Starts a new window, and returns whether any samples are left.
     fn rotate(&mut self, keeps_last: bool) -> bool {
         self.previous = self.current.take().filter(|_| keeps_last);
-        self.work = self.estimate();
+        self.value = self.estimate();
         self.previous.is_some()
     }
 
-    fn estimate(&self) -> Option<Duration> {
-        let mut all = self.previous.clone().or_else(new_histogram)?;
+    fn estimate(&self) -> Option<u64> {
+        let mut all = self.previous.clone().or_else(|| new_histogram(self.max))?;
         if let Some(current) = &self.current {
             if let Err(err) = all.add(current) {
-                log::error!("cannot add histograms of answer times: {err}");
+                log::error!("cannot add histograms of answers: {err}");
             }
         }
-        let micros = all.value_at_quantile(WORK_QUANTILE);
-        (all.len() >= MIN_SAMPLES).then_some(Duration::from_micros(micros))
+        (all.len() >= MIN_SAMPLES).then_some(all.value_at_quantile(self.quantile))
     }
 }
 
-fn new_histogram() -> Option<Histogram<u32>> {
-    let histogram = Histogram::new_with_bounds(1, MAX_WORK_MICROS, SIGNIFICANT_DIGITS);
+fn new_histogram(max: u64) -> Option<Histogram<u32>> {
+    let histogram = Histogram::new_with_bounds(1, max, SIGNIFICANT_DIGITS);
     histogram.inspect_err(|err| log::error!("cannot create a histogram: {err}")).ok()
 }
