--- a/lib/src/log_chain.rs
+++ b/lib/src/log_chain.rs
@@ -8,8 +8,8 @@
 use smol_str::SmolStr;
 
 use crate::log_message::{
-    CHECKED, CONDITION, DECISION, FOLLOWING, HISTORY_GONE, LEAVING, LEFT, OUTAGES, REFUSED,
-    REGISTRATION, RELOADED, ROUTING, STARTED, STORE_LOST, STORE_RESTORED, YIELDED,
+    CHECKED, CONDITION, DECISION, FOLLOWING, HISTORY_GONE, LEAVING, LEFT, OPENING, OUTAGES,
+    REFUSED, REGISTRATION, RELOADED, ROUTING, STARTED, STORE_LOST, STORE_RESTORED, YIELDED,
 };
 
 /// Time before the first and after the last decision on a flow in which other lines are selected.
@@ -64,7 +64,8 @@
     }
 
     fn is_decision_on(&self, caller: &str) -> bool {
-        self.message == DECISION && self.field("caller") == caller
+        let is_decision = [DECISION, OPENING].contains(&self.message.as_str());
+        is_decision && self.field("caller") == caller
     }
 }
 
@@ -98,6 +99,7 @@
         write!(f, "{time} {}: ", self.instance)?;
         match self.message.as_str() {
             DECISION => write_decision(self, f),
+            OPENING => write_opening(self, f),
             CONDITION => {
                 let source = if self.field("own") == "true" { "found out" } else { "heard" };
                 let (target, condition) = (self.field("target"), self.field("condition"));
@@ -132,6 +134,19 @@
     }
 }
 
+/// Writes the inputs of a decision on an opening whose service has too little room.
+fn write_opening(line: &LogLine, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let (outcome, caller) = (line.field("outcome"), line.field("caller"));
+    let (precedence, waited) = (line.field("precedence"), line.field("waited_ms"));
+    let (slack, work) = (line.field("slack_ms"), line.field("work_ms"));
+    write!(f, "opening of {caller}: {outcome}, precedence {precedence}, waited {waited} ms, ")?;
+    write!(f, "{slack} ms left to its aim, work {work} ms; ")?;
+    let (demand, capacity) = (line.field("demand"), line.field("capacity"));
+    let (turned_away, share) = (line.field("turned_away"), line.field("own_share_per_mille"));
+    write!(f, "{demand} requests per second ask for room for {capacity}, ")?;
+    write!(f, "{turned_away} turned away, {share} per mille of them here")
+}
+
 fn describe_decision(line: &LogLine) -> String {
     let (caller, service) = (line.field("caller"), line.field("service"));
     let (target, copy) = (line.field("target"), line.field("copy"));
@@ -144,6 +159,9 @@
         "no_route" => reset(&format!("there is no route for {service}")),
         "route_removed" => reset(&format!("the route of {service} was removed")),
         "no_target" => reset(&format!("no target of {service} takes new flows")),
+        "scarce_room" => format!("held the opening of {caller}: {service} has too little room"),
+        "no_room" => reset(&format!("{service} had no room while the opening could wait")),
+        "no_time" => reset(&format!("{service} has no room before the request's timeout")),
         "target_down" => reset(&format!("its target {target} does not answer")),
         "target_ended" => {
             reset(&format!("its target {target} has ended, and another target has its address"))
--- a/lib/tests/test_opening_admission.rs
+++ b/lib/tests/test_opening_admission.rs
@@ -215,6 +215,26 @@
     assert!((TICK..=MAX_HOLD_TIME).contains(&start.elapsed()));
 }
 
+/// Load: the second and later requests of an open flow use the room that an opening would get.
+#[tokio::test(start_paused = true)]
+async fn on_segment_requests_of_open_flows_take_room() {
+    let mut fixture = Fixture::new(true);
+    let held = fixture.open_until_held(0..10);
+    let flow = ends(20, URGENT);
+    let CookieVerdict::Forward { cookie, .. } = fixture.open(flow, 0) else { panic!("held") };
+    let mut released = Vec::new();
+    for request in 0..20 {
+        let control = Control { acknowledges: true, ..Control::default() };
+        let (seq, ack) = (1 + 100 * request, 1 + 500 * request);
+        let data = Segment { control, seq, ack, data_len: 100, cookie, ..opening(flow, 0) };
+        fixture.forwarder.on_segment(&data, Instant::now());
+        fixture.tick(TICK).await;
+        released.extend(fixture.take_released());
+    }
+    let [(segment, verdict)] = released[..] else { panic!("released: {released:?}") };
+    assert_eq!((segment.ends, verdict), (held, CookieVerdict::Reset(ResetReason::NoRoom)));
+}
+
 /// Load: openings wait when the figures are lost, when room returns, when the precedence of their
 /// route changes and when their route is removed. Each is placed or reset at once.
 #[tokio::test(start_paused = true)]
