--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -33,7 +33,7 @@
 const HOLD_TIME_DIVISOR: u32 = 4;
 /// Rate of placed openings relative to the capacity. The excess keeps a request waiting at each
 /// target, so that no slot idles, and shows whether the targets can serve more than the figures say.
-const PACE_SHARE: f64 = 1.1;
+const PACE_SHARE: f64 = 1.06;
 /// Demand relative to the capacity from which room counts as scarce. The capacity is at least what
 /// the targets serve, so a demand above it shows that requests are turned away.
 const SCARCE_DEMAND_SHARE: f64 = 1.05;
@@ -279,9 +279,11 @@
     }
 
     /// Follows what the targets serve while they turn away many requests, and else rises to the
-    /// capacity.
+    /// capacity. Figures from before the scarcity show what callers asked for, not what the targets
+    /// can serve.
     fn update_limit(&mut self, figures: &RoomFigures, turned_away: f64, elapsed: f64) {
-        if turned_away > EXCESSIVE_TURNED_AWAY_SHARE {
+        let shows_served = figures.turned_away_share() > SCARCE_TURNED_AWAY_SHARE;
+        if turned_away > EXCESSIVE_TURNED_AWAY_SHARE && shows_served {
             self.limit = figures.demand.served_per_second();
         } else if self.is_scarce {
             self.limit *= 1.0 + LIMIT_GROWTH_PER_SECOND * elapsed;
