--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -49,6 +49,8 @@
     last_new_data_at: Instant,
     last_ack: u32,
     running_since: Option<Instant>,
+    /// Whether the caller has sent a request, or may have sent one through another instance.
+    has_request: bool,
     /// Time that the handshake took; `None` if this instance did not see it.
     round_trip: Option<Duration>,
 }
@@ -63,6 +65,8 @@
     /// Time that the handshake of the flow took, which a round trip without work takes too; `None`
     /// if this instance did not see it.
     pub round_trip: Option<Duration>,
+    /// Length of the data that the packet acknowledges, in bytes.
+    pub length: u32,
 }
 
 impl AnswerTime {
@@ -85,6 +89,8 @@
     /// Time from the first opening packet to this packet; `None` unless this packet is the first
     /// after the opening.
     pub handshake_time: Option<Duration>,
+    /// Whether this packet begins a request that is not the first one of its flow.
+    pub begins_later_request: bool,
     /// Answer that this packet is the first to acknowledge; `None` for all other packets.
     pub answer: Option<AnswerTime>,
 }
@@ -169,6 +175,7 @@
                 last_new_data_at: now,
                 last_ack: segment.ack,
                 running_since: None,
+                has_request: !seen.is_progress,
                 round_trip,
             }),
         };
@@ -178,6 +185,7 @@
         seen.is_retransmission = is_old_data && now >= flow.last_new_data_at + REORDERING_WINDOW;
         if is_before(flow.last_ack, segment.ack) {
             seen.is_progress = true;
+            let length = segment.ack.wrapping_sub(flow.last_ack);
             flow.last_ack = segment.ack;
             self.waiting.end(&segment.ends);
             if let Some(since) = flow.running_since.take() {
@@ -185,6 +193,7 @@
                     target: flow.target,
                     response_time: now.saturating_duration_since(since),
                     round_trip: flow.round_trip,
+                    length,
                 });
                 decrement(&mut self.running, flow.target);
             }
@@ -195,6 +204,7 @@
             if flow.running_since.replace(now).is_none() {
                 seen.starts_request = true;
                 *self.running.entry(flow.target).or_default() += 1;
+                seen.begins_later_request = std::mem::replace(&mut flow.has_request, true);
             }
             if flow.target == target {
                 let (opened_at, ack) = (flow.first_seen, flow.last_ack);
@@ -243,7 +253,8 @@
             decrement(running, flow.target);
             let response_time = now.saturating_duration_since(since);
             let (target, round_trip) = (flow.target, flow.round_trip);
-            overdue.push((ends.service, AnswerTime { target, response_time, round_trip }));
+            let answer = AnswerTime { target, response_time, round_trip, length: 0 };
+            overdue.push((ends.service, answer));
         }
         let waiting = &mut self.waiting;
         self.open.retain(|ends, flow| {
--- a/lib/src/service_demand.rs
+++ b/lib/src/service_demand.rs
@@ -14,6 +14,7 @@
 use crate::flow_tracker::AnswerTime;
 use crate::ids::ServiceId;
 use crate::room::Demand;
+use crate::route_work::Answer;
 
 /// Time in which a decaying rate forgets all but 1/e of its events.
 pub const RATE_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
@@ -26,9 +27,6 @@
 const BLOCKS: usize = 16;
 /// Least work of a request.
 const MIN_WORK: Duration = Duration::from_millis(1);
-/// An answer within this fraction of the work of a request shows that a full target turned the
-/// request away.
-const TURNED_AWAY_DIVISOR: u32 = 4;
 
 /// Rate of events, which forgets old events exponentially.
 #[derive(Clone, Copy, Debug, Default)]
@@ -133,14 +131,18 @@
     }
 
     /// Records the answer to a request.
-    pub fn record_answer(&mut self, service: &ServiceId, answer: &AnswerTime, now: Instant) {
-        let Some(time) = answer.work() else { return };
+    pub fn record_answer(
+        &mut self,
+        service: &ServiceId,
+        answer: &AnswerTime,
+        kind: Answer,
+        now: Instant,
+    ) {
         let rates = self.rates(service);
-        let work = rates.work.work();
-        if work.is_some_and(|work| time < work / TURNED_AWAY_DIVISOR) {
-            rates.turned_away.record(now);
-        } else {
-            rates.work.record(time);
+        match (kind, answer.work()) {
+            (Answer::TurnedAway, _) => rates.turned_away.record(now),
+            (Answer::Served, Some(time)) => rates.work.record(time),
+            (Answer::Served, None) => {}
         }
     }
 
--- a/lib/tests/test_service_demand.rs
+++ b/lib/tests/test_service_demand.rs
@@ -4,13 +4,14 @@
 
 use hollyhead::flow_tracker::AnswerTime;
 use hollyhead::ids::ServiceId;
+use hollyhead::route_work::Answer;
 use hollyhead::service_demand::ServiceDemand;
 use tokio::time::Instant;
 
 fn answer(work_ms: u64) -> AnswerTime {
     let round_trip = Duration::from_millis(6);
     let response_time = round_trip + Duration::from_millis(work_ms);
-    AnswerTime { target: 0, response_time, round_trip: Some(round_trip) }
+    AnswerTime { target: 0, response_time, round_trip: Some(round_trip), length: 800 }
 }
 
 /// Load: 20 requests per second, whose callers move away within a second.
@@ -38,14 +39,15 @@
     let work = |it: &ServiceDemand| it.work("desk").unwrap_or_default().as_millis();
     (0..100).for_each(|it| {
         let work_ms = if it % 10 == 0 { 210 } else { 30 };
-        demand.record_answer(&service, &answer(work_ms), Instant::now());
+        demand.record_answer(&service, &answer(work_ms), Answer::Served, Instant::now());
     });
     assert_eq!(work(&demand), 30);
     for number in 0..300 {
         tokio::time::advance(Duration::from_millis(50)).await;
         demand.record_request(&service, false, Instant::now());
-        let work_ms = if number % 3 == 0 { 130 } else { 1 };
-        demand.record_answer(&service, &answer(work_ms), Instant::now());
+        let (work_ms, kind) =
+            if number % 3 == 0 { (130, Answer::Served) } else { (1, Answer::TurnedAway) };
+        demand.record_answer(&service, &answer(work_ms), kind, Instant::now());
     }
     assert_eq!(work(&demand), 30);
     let (_, demand) = demand.demands(Instant::now())[0].clone();
