--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -131,6 +131,9 @@
             ..Observation::default()
         };
         if segment.control.aborts || segment.control.ends {
+            if !segment.control.aborts {
+                seen.answer = self.last_answer(segment, now);
+            }
             self.close(&segment.ends);
             return seen;
         }
@@ -174,6 +177,18 @@
         seen
     }
 
+    /// Returns the answer that the last packet of a flow is the first to acknowledge: a caller may
+    /// acknowledge a short answer only as it ends the flow.
+    fn last_answer(&self, segment: &Segment, now: Instant) -> Option<AnswerTime> {
+        let flow = self.open.get(&segment.ends)?;
+        let since = flow.running_since.filter(|_| is_before(flow.last_ack, segment.ack))?;
+        Some(AnswerTime {
+            target: flow.target,
+            response_time: now.saturating_duration_since(since),
+            round_trip: flow.round_trip,
+        })
+    }
+
     /// Returns, for each half-open flow that has become unanswered, the target that last got its
     /// opening packet. A flow counts as unanswered once `timeout` has passed since that packet, and
     /// is returned once per packet.
--- a/lib/tests/test_cookie_forwarder.rs
+++ b/lib/tests/test_cookie_forwarder.rs
@@ -672,3 +672,20 @@
     fixture.data(ends, 201, 4_500, cookie);
     assert_eq!(fixture.forwarder.take_timings(), [FlowTiming::Answered(Duration::from_millis(30))]);
 }
+
+/// Callers acknowledge a short answer only with the packet that ends the flow.
+#[tokio::test(start_paused = true)]
+async fn on_segment_end_of_flow_times_the_last_answer() {
+    for (ack, answer) in
+        [(4_500, Some(FlowTiming::Answered(Duration::from_millis(30)))), (500, None)]
+    {
+        let mut fixture = Fixture::with_six_targets();
+        let (ends, _, cookie) = fixture.open_answered(MOVES);
+        fixture.forwarder.take_timings();
+        tokio::time::advance(Duration::from_millis(30)).await;
+        let control = Control { acknowledges: true, ends: true, ..Control::default() };
+        let segment = Segment { ends, control, seq: 201, ack, data_len: 0, cookie };
+        fixture.forwarder.on_segment(&segment, Instant::now());
+        assert_eq!(fixture.forwarder.take_timings(), Vec::from_iter(answer));
+    }
+}
