--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -94,7 +94,7 @@
             let parts: Vec<_> =
                 spillover.shares().map(|(name, share)| format!("{name}={share:.2}")).collect();
             log::info!(
-                service = service.as_str(), share, to = parts.join(",").as_str(), left_out;
+                service = service.as_str(), share:% = format_args!("{share:.2}"), to = parts.join(",").as_str(), left_out;
                 "{SPILLOVER}"
             );
         }
--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -194,13 +194,18 @@
 /// Plays a load with today's rule and with the spillover by figures.
 fn compare(load: &Load<'_>) -> (Outcome, Outcome) {
     let both = (play(&Load { has_figures: false, ..*load }), play(load));
-    println!("{both:?}");
+    println!("former rule: {:?}\nspillover: {:?}", both.0, both.1);
     both
 }
 
-fn all_targets(_: usize, _: f64) -> usize {
-    TARGETS
-}
+/// Steady load at half of what the targets can serve.
+const STEADY: Load<'static> = Load {
+    demand: &|_, _| 0.5 * CAPACITY,
+    targets: &|_, _| TARGETS,
+    seconds: 10.0,
+    has_figures: true,
+    counts_from: 0.0,
+};
 
 /// Load: demand of three data centres swings by 55 % with a period of 24 s, out of phase, around 70 %
 /// of what the targets can serve.
@@ -210,13 +215,7 @@
         let phase = data_centre as f64 / 3.0;
         0.7 * CAPACITY * (1.0 + 0.55 * (TAU * (now / 24.0 + phase)).sin())
     };
-    let load = Load {
-        demand: &demand,
-        targets: &all_targets,
-        seconds: 24.0,
-        has_figures: true,
-        counts_from: 0.0,
-    };
+    let load = Load { demand: &demand, seconds: 24.0, ..STEADY };
     let (today, spilled) = compare(&load);
     assert!(today.turned_away_share() > 0.005, "{today:?}");
     assert!(spilled.turned_away_share() < today.turned_away_share() / 2.0, "{spilled:?} {today:?}");
@@ -233,13 +232,8 @@
         let change = if data_centre == 0 { 1.0 } else { -0.5 };
         0.55 * CAPACITY * (1.0 + change * moved(now))
     };
-    let load = Load {
-        demand: &demand,
-        targets: &all_targets,
-        seconds: 20.0,
-        has_figures: true,
-        counts_from: 4.0 + FIGURES_AGE + 1.5,
-    };
+    let counts_from = 4.0 + FIGURES_AGE + 1.5;
+    let load = Load { demand: &demand, seconds: 20.0, counts_from, ..STEADY };
     let (today, spilled) = compare(&load);
     assert!(today.turned_away_share() > 0.02, "{today:?}");
     assert!(spilled.turned_away_share() < 0.01, "{spilled:?}");
@@ -254,13 +248,7 @@
         0 if now >= 2.0 => TARGETS * 2 / 5,
         _ => TARGETS,
     };
-    let load = Load {
-        demand: &|_, _| 0.5 * CAPACITY,
-        targets: &targets,
-        seconds: 10.0,
-        has_figures: true,
-        counts_from: 2.0,
-    };
+    let load = Load { targets: &targets, counts_from: 2.0, ..STEADY };
     let (today, spilled) = compare(&load);
     assert!(today.turned_away_share() > 0.04, "{today:?}");
     assert!(spilled.turned_away_share() < today.turned_away_share() / 5.0, "{spilled:?} {today:?}");
@@ -269,14 +257,7 @@
 /// Load: steady at half of what the targets can serve. Nothing leaves its data centre.
 #[test]
 fn spillover_calm_load_stays_at_home() {
-    let load = Load {
-        demand: &|_, _| 0.5 * CAPACITY,
-        targets: &all_targets,
-        seconds: 5.0,
-        has_figures: true,
-        counts_from: 0.0,
-    };
-    assert_eq!(play(&load).remote, 0.0);
+    assert_eq!(play(&STEADY).remote, 0.0);
 }
 
 /// Load: two data centres take turns above their limit every 3 s, faster than figures and ramps.
@@ -286,14 +267,7 @@
         let is_high = (now / 3.0) as usize % 2 == data_centre;
         CAPACITY * if is_high { 0.9 } else { 0.4 }
     };
-    let load = Load {
-        demand: &demand,
-        targets: &all_targets,
-        seconds: 18.0,
-        has_figures: true,
-        counts_from: 0.0,
-    };
-    assert_eq!(play(&load).mutual, 0);
+    assert_eq!(play(&Load { demand: &demand, seconds: 18.0, ..STEADY }).mutual, 0);
 }
 
 fn share_and_names(plan: &SpillPlan) -> (f64, Vec<&str>) {
