--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -359,3 +359,20 @@
     assert!(alone < 0.45 * share, "{alone} of {share}");
     assert!(corrected > 0.75 * share && corrected < 1.05 * share, "{corrected} of {share}");
 }
+
+/// Load: a data centre above the limit returns to normal. Its share falls by a ramp, but at once
+/// when the room elsewhere is needed by another data centre.
+#[test]
+fn update_falling_share_leaves_the_room_to_others() {
+    let (over, calm, now) = (Some(CAPACITY), Some(0.3 * CAPACITY), Instant::now());
+    let mut spillover = Spillover::default();
+    let mut share_after = |second: u64, figures: [(u32, Option<f64>); 3]| {
+        let plan = plan(&room(figures), "a");
+        spillover.update(plan, Traffic::default(), now + Duration::from_secs(second));
+        spillover.share()
+    };
+    share_after(0, [(40, over), (40, calm), (40, calm)]);
+    assert!((share_after(1, [(40, over), (40, calm), (40, calm)]) - 0.367).abs() < 0.01);
+    assert!((share_after(2, [(40, calm), (40, calm), (40, calm)]) - 0.267).abs() < 0.01);
+    assert_eq!(share_after(3, [(40, calm), (40, over), (0, calm)]), 0.0);
+}
