--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -230,6 +230,7 @@
             target: flow.target,
             response_time: now.saturating_duration_since(since),
             round_trip: flow.round_trip,
+            length: segment.ack.wrapping_sub(flow.last_ack),
         })
     }
 
