--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Logs the spill shares that have changed by [`LOGGED_SPILL_STEP`] or have come back to zero.
+    /// Logs the spill shares that have changed noticeably or have come back to zero.
     pub fn log_spillovers(&self, forwarder: &CookieForwarder, now: Instant) {
         let mut logged = self.spill_shares.lock();
         for (service, spillover) in forwarder.spillovers() {
--- a/lib/src/service_demand.rs
+++ b/lib/src/service_demand.rs
@@ -135,15 +135,18 @@
     /// Records the answer to a request.
     pub fn record_answer(&mut self, service: &ServiceId, answer: &AnswerTime, now: Instant) {
         let Some(time) = answer.work() else { return };
-        let rates = self.rates(service);
-        let work = rates.work.work();
-        if work.is_some_and(|work| time < work / TURNED_AWAY_DIVISOR) {
-            rates.turned_away.record(now);
+        if self.work(service).is_some_and(|work| time < work / TURNED_AWAY_DIVISOR) {
+            self.record_turned_away(service, now);
         } else {
-            rates.work.record(time);
+            self.rates(service).work.record(time);
         }
     }
 
+    /// Records that a full target turned a request away, which is recorded itself already.
+    pub fn record_turned_away(&mut self, service: &ServiceId, now: Instant) {
+        self.rates(service).turned_away.record(now);
+    }
+
     /// Returns the time for which a request of a service occupies a slot; `None` until enough
     /// answers were observed.
     pub fn work(&self, service: &str) -> Option<Duration> {
--- a/lib/tests/test_demand_exchange.rs
+++ b/lib/tests/test_demand_exchange.rs
@@ -19,8 +19,8 @@
 use testutils::cookie_fleet::{ready_registration, CookieFleet};
 use tokio::time::Instant;
 
-const DATA_CENTRES: [&str; 3] = ["cairo-a", "cairo-b", "cairo-c"];
-const SERVICES: [&str; 2] = ["index-svc", "archive-svc"];
+const DATA_CENTRES: [&str; 3] = ["north-a", "north-b", "north-c"];
+const SERVICES: [&str; 2] = ["mail-desk", "parcel-desk"];
 const RATE: f64 = 20.0;
 const STEP: Duration = Duration::from_millis(250);
 /// Bytes that [`hollyhead::envelope`] adds for a name of 12 bytes.
@@ -53,7 +53,7 @@
 impl Fleet {
     fn new(instances: usize) -> Self {
         let member = |index: usize| Member {
-            id: format_smolstr!("front-{index:06}"),
+            id: format_smolstr!("entry-{index:06}"),
             data_centre: DATA_CENTRES[index % 3].into(),
             peer: ([10, 0, 0, 1], 7_000).into(),
             request: ([10, 0, 0, 1], 7_000).into(),
