service_demand, room_table: mean work without waiting, own share from the data centre's figures

Cause (reviews): the work of a service was a median, 1.1 to 1.3 times below the mean that a capacity needs; an instance compared its own requests with an older total; refusals of the policy counted as requests turned away by targets; a data centre without live instances made the whole demand unknown; lowered targets counted as full room.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -602,10 +602,7 @@
             match self.admission.admit(opening, (segment, packet), &self.rooms, now) {
                 OpeningDecision::Place => {}
                 OpeningDecision::Hold => return CookieVerdict::Hold,
-                OpeningDecision::Refuse(reason) => {
-                    self.room_table.demand.record_refused(&service, now);
-                    return CookieVerdict::Reset(reason);
-                }
+                OpeningDecision::Refuse(reason) => return CookieVerdict::Reset(reason),
             }
         }
         self.place(segment, &service, now)
@@ -641,10 +638,7 @@
         }
         for (held, decision) in self.admission.take_decided(&self.rooms, now) {
             let verdict = match decision {
-                OpeningDecision::Refuse(reason) => {
-                    self.room_table.demand.record_refused(&held.opening.service, now);
-                    CookieVerdict::Reset(reason)
-                }
+                OpeningDecision::Refuse(reason) => CookieVerdict::Reset(reason),
                 _ => self.place(&held.segment, &held.opening.service, now),
             };
             self.admission.finish(held, verdict, &self.rooms, now);
--- a/lib/src/room_table.rs
+++ b/lib/src/room_table.rs
@@ -34,6 +34,7 @@
     pub demand: ServiceDemand,
     /// Reports of other instances.
     pub exchange: DemandExchange,
+    data_centre: DataCentreId,
     next_pass_at: Option<Instant>,
     /// Whether a data centre may soon spill over.
     is_busy: bool,
@@ -44,7 +45,8 @@
     pub fn new(instance: InstanceId, data_centre: DataCentreId) -> Self {
         Self {
             demand: ServiceDemand::default(),
-            exchange: DemandExchange::new(instance, data_centre),
+            exchange: DemandExchange::new(instance, data_centre.clone()),
+            data_centre,
             next_pass_at: None,
             is_busy: false,
         }
@@ -68,8 +70,7 @@
             let data_centres = data_centre_rooms(service, &slots, estimates);
             let work = self.demand.work(service);
             let mut room = ServiceRoom { data_centres, work, own_share: None };
-            let own = self.demand.traffic(service, now).requests;
-            room.own_share = room.demand().and_then(|total| share(own, total));
+            room.own_share = room.demand().and_then(|total| self.own_share(service, total));
             (service.clone(), room)
         };
         let rooms: HashMap<_, _> = targets.services().map(room).collect();
@@ -77,6 +78,16 @@
         Some(rooms)
     }
 
+    /// Returns this instance's share of the total demand for a service: an even part of its data
+    /// centre's share. Its own requests would be newer than the total, and would show what it places
+    /// instead of what its callers ask for.
+    fn own_share(&self, service: &str, total: Demand) -> Option<f64> {
+        let estimates = self.exchange.estimates().iter();
+        let own = estimates.clone().find(|it| it.data_centre == self.data_centre)?;
+        let own_demand = own.demand(service)?.requests_per_second / own.instances as f64;
+        (total.requests_per_second > 0.0).then(|| (own_demand / total.requests_per_second).min(1.0))
+    }
+
     /// Returns the time between two reports of this instance to others.
     pub fn report_interval(&self) -> Duration {
         if self.is_busy {
@@ -103,7 +114,8 @@
     let mut slots: BTreeMap<&DataCentreId, u32> = BTreeMap::new();
     for entry in indices.iter().map(|index| targets.get(*index)) {
         if entry.accepts_new_flows() && !entry.is_cold(now) && !entry.health().is_down() {
-            *slots.entry(&entry.registration.data_centre).or_default() += entry.registration.slots;
+            let usable = entry.registration.slots * entry.weight().per_mille() / 1_000;
+            *slots.entry(&entry.registration.data_centre).or_default() += usable;
         }
     }
     slots
@@ -116,8 +128,11 @@
     slots: &BTreeMap<&DataCentreId, u32>,
     estimates: &[DataCentreDemand],
 ) -> Vec<DataCentreRoom> {
+    // A data centre without live instances has no callers here: those of its callers that reach
+    // another data centre count there.
+    let no_callers = Some(Demand::default());
     let mut rooms: BTreeMap<&DataCentreId, (u32, Option<Demand>)> =
-        slots.iter().map(|(name, slots)| (*name, (*slots, None))).collect();
+        slots.iter().map(|(name, slots)| (*name, (*slots, no_callers))).collect();
     for estimate in estimates {
         rooms.entry(&estimate.data_centre).or_default().1 = estimate.demand(service);
     }
@@ -127,7 +142,3 @@
     };
     rooms.into_iter().map(room).collect()
 }
-
-fn share(own: f64, total: Demand) -> Option<f64> {
-    (total.requests_per_second > 0.0).then(|| (own / total.requests_per_second).min(1.0))
-}
--- a/lib/src/service_demand.rs
+++ b/lib/src/service_demand.rs
@@ -20,11 +20,15 @@
 pub const RATE_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
 /// Least rate that is reported.
 const MIN_EVENTS_PER_SECOND: f64 = 0.005;
-/// Answers of one block, of which the median is taken.
+/// Answers of one block.
 const BLOCK_ANSWERS: usize = 32;
-/// Number of latest blocks; the least median among them is the work of a request. Medians that
-/// include waiting in the queues of busy targets are thus left out.
-const BLOCKS: usize = 16;
+/// Number of latest blocks from which the work of a request is estimated.
+const MAX_BLOCKS: usize = 16;
+/// Age from which a block is left out.
+const MAX_BLOCK_AGE: Duration = Duration::from_secs(60);
+/// Median of a block relative to the least one, from which its answers are taken to include waiting
+/// in the queues of busy targets.
+const WAITING_MEDIAN_RATIO: f64 = 1.25;
 /// Least work of a request.
 const MIN_WORK: Duration = Duration::from_millis(1);
 
@@ -54,30 +58,46 @@
     }
 }
 
-/// Estimate of the time for which a request occupies a slot.
+/// Summary of consecutive answers.
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    median: Duration,
+    mean: Duration,
+    ended_at: Instant,
+}
+
+/// Estimate of the mean time for which a request occupies a slot, from the blocks of answers that
+/// include no waiting. A few requests that take many times as long count as what they are.
 #[derive(Clone, Debug, Default)]
 struct WorkEstimate {
-    block: Vec<Duration>,
-    medians: VecDeque<Duration>,
+    times: Vec<Duration>,
+    blocks: VecDeque<Block>,
 }
 
 impl WorkEstimate {
-    fn record(&mut self, work: Duration) {
-        self.block.push(work);
-        if self.block.len() < BLOCK_ANSWERS {
+    fn record(&mut self, time: Duration, now: Instant) {
+        self.times.push(time);
+        if self.times.len() < BLOCK_ANSWERS {
             return;
         }
-        self.block.sort_unstable();
-        let median = self.block[BLOCK_ANSWERS / 2].max(MIN_WORK);
-        self.block.clear();
-        if self.medians.len() == BLOCKS {
-            self.medians.pop_front();
+        self.times.sort_unstable();
+        let median = self.times[BLOCK_ANSWERS / 2].max(MIN_WORK);
+        let mean = self.times.iter().sum::<Duration>() / BLOCK_ANSWERS as u32;
+        self.times.clear();
+        let is_old = |block: &Block| now >= block.ended_at + MAX_BLOCK_AGE;
+        while self.blocks.len() >= MAX_BLOCKS || self.blocks.front().is_some_and(is_old) {
+            self.blocks.pop_front();
         }
-        self.medians.push_back(median);
+        self.blocks.push_back(Block { median, mean: mean.max(MIN_WORK), ended_at: now });
     }
 
     fn work(&self) -> Option<Duration> {
-        self.medians.iter().min().copied()
+        let least = self.blocks.iter().map(|block| block.median).min()?;
+        let limit = least.mul_f64(WAITING_MEDIAN_RATIO);
+        let blocks = self.blocks.iter().filter(|block| block.median <= limit);
+        let (count, sum) =
+            blocks.fold((0, Duration::ZERO), |(count, sum), block| (count + 1, sum + block.mean));
+        Some(sum / count)
     }
 }
 
@@ -123,7 +143,8 @@
         }
     }
 
-    /// Records a new flow that this instance refused. Its request is demand that no target served.
+    /// Records a new flow that was refused since no target takes it. Its request is demand that no
+    /// target served.
     pub fn record_refused(&mut self, service: &ServiceId, now: Instant) {
         let rates = self.rates(service);
         rates.requests.record(now);
@@ -141,7 +162,7 @@
         let rates = self.rates(service);
         match (kind, answer.work()) {
             (Answer::TurnedAway, _) => rates.turned_away.record(now),
-            (Answer::Served, Some(time)) => rates.work.record(time),
+            (Answer::Served, Some(time)) => rates.work.record(time, now),
             (Answer::Served, None) => {}
         }
     }
