target_table: the start of a new run needs its registered start and the store's confirmation

A target that does not reach the store registers its new run late, and an instance's clock may be wrong. Either alone could have ended flows of the new run.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -279,6 +279,11 @@
         self.targets.set_confirmed(at);
     }
 
+    /// Sets the Unix time at `now`, to which the start times of targets are compared.
+    pub fn set_unix_time(&mut self, now: Instant, unix_time: Duration) {
+        self.targets.set_unix_time(now, unix_time);
+    }
+
     /// Sets the speed of the instance's link, which limits the rate of resets.
     pub fn set_link_mbps(&mut self, link_mbps: f64) {
         self.resets.set_link_mbps(link_mbps);
--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -381,6 +381,9 @@
             forwarder.set_view(view);
             forwarder.set_routing_confirmed(routing_confirmed);
             forwarder.set_targets_confirmed(targets_confirmed);
+            if let Ok(unix_time) = SystemTime::now().duration_since(UNIX_EPOCH) {
+                forwarder.set_unix_time(now, unix_time);
+            }
             forwarder.tick(now)
         };
         self.reset_waiting_flows(now);
--- a/lib/src/ended_target.rs
+++ b/lib/src/ended_target.rs
@@ -13,8 +13,10 @@
 use crate::route::RegistrationState;
 use crate::target_table::TargetEntry;
 
-/// Time that a new run of a target may accept flows before its registration reaches the store. Flows
-/// that were opened within this time before the change may belong to the new run.
+/// Time before the start of a target's new run within which a flow may belong to the new run already.
+/// The start is the earlier of what the target registers and of the time at which the store last
+/// confirmed the former run, so that neither a wrong clock nor a registration that arrives late alone
+/// ends a flow of the new run.
 pub const RESTART_DOUBT: Duration = Duration::from_secs(2);
 
 /// How it is known that a target has ended.
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -150,6 +150,8 @@
     ended: Vec<usize>,
     /// Time at which the store last confirmed the registrations; `None` if it never has.
     confirmed_at: Option<Instant>,
+    /// Unix time at an instant, by this instance's clock.
+    unix_time: Option<(Instant, Duration)>,
 }
 
 impl TargetTable {
@@ -167,6 +169,7 @@
             unsettled: BTreeSet::new(),
             ended: Vec::new(),
             confirmed_at: None,
+            unix_time: None,
         }
     }
 
@@ -242,6 +245,11 @@
         self.confirmed_at = at;
     }
 
+    /// Sets the Unix time at `now`.
+    pub fn set_unix_time(&mut self, now: Instant, unix_time: Duration) {
+        self.unix_time = Some((now, unix_time));
+    }
+
     /// Returns the targets whose address was reassigned, or that started again under their name,
     /// since the last call.
     pub fn take_ended(&mut self) -> Vec<usize> {
@@ -285,9 +293,9 @@
             entry.has_ended = false;
             let former = entry.registration.started;
             if former > 0 && registration.started > former {
-                // The store still had the former run when it last confirmed the registrations.
-                entry.restarted_after =
-                    self.confirmed_at.and_then(|at| at.checked_sub(RESTART_DOUBT));
+                let times = self.confirmed_at.zip(instant_at(self.unix_time, registration.started));
+                let earlier = times.map(|(confirmed_at, started_at)| confirmed_at.min(started_at));
+                entry.restarted_after = earlier.and_then(|at| at.checked_sub(RESTART_DOUBT));
                 self.ended.push(index);
             }
         }
@@ -361,3 +369,11 @@
         }
     }
 }
+
+/// Returns the instant of a Unix time in milliseconds that has passed by this instance's clock;
+/// `None` if it has not, or the clock is unknown.
+fn instant_at(unix_time: Option<(Instant, Duration)>, unix_ms: u64) -> Option<Instant> {
+    let (now, unix_now) = unix_time?;
+    let since = unix_now.checked_sub(Duration::from_millis(unix_ms))?;
+    now.checked_sub(since)
+}
--- a/lib/tests/test_ended_target.rs
+++ b/lib/tests/test_ended_target.rs
@@ -197,17 +197,27 @@
     }
 }
 
-/// Load: a target starts again under its name, and gets flows before its new registration arrives.
+/// Load: a target starts again under its name, and gets flows before its new registration arrives:
+/// at once, after 5 s without the store, or after 5 s by a clock that is 5 s behind.
 #[tokio::test(start_paused = true)]
 async fn end_cause_restarted_resets_only_flows_from_before() {
-    let mut fixture = Fixture::new("a");
-    let (before, _) = fixture.send_request(FEEDS);
-    tokio::time::advance(RESTART_DOUBT).await;
-    fixture.send_request(FEEDS);
-    tokio::time::advance(RUNNING_TIME).await;
-    fixture.forwarder.set_targets_confirmed(Some(Instant::now()));
-    fixture.register(Registration { started: 2, ..target(1) });
-    assert_eq!(fixture.tick().await, [before]);
+    const DELAY: Duration = Duration::from_secs(5);
+    let now_ms = 1_000_000;
+    for (confirmed_before, started_before) in
+        [(Duration::ZERO, Duration::ZERO), (DELAY, Duration::ZERO), (Duration::ZERO, DELAY)]
+    {
+        let mut fixture = Fixture::new("a");
+        let (before, _) = fixture.send_request(FEEDS);
+        tokio::time::advance(RESTART_DOUBT).await;
+        fixture.send_request(FEEDS);
+        tokio::time::advance(confirmed_before.max(started_before) + RUNNING_TIME).await;
+        let now = Instant::now();
+        fixture.forwarder.set_targets_confirmed(Some(now - confirmed_before));
+        fixture.forwarder.set_unix_time(now, Duration::from_millis(now_ms));
+        let started = now_ms - started_before.as_millis() as u64;
+        fixture.register(Registration { started, ..target(1) });
+        assert_eq!(fixture.tick().await, [before]);
+    }
 }
 
 /// Load: registrations lapse while the store is unavailable; the targets live.
