ended_target: the witness must have been refused too; checks for waiting callers are not announced

Cause: a report that a target is down does not say why, so a hanging target and one bad path could have passed for an end. Each instance with waiting callers would have announced its own check to all: 90,000 messages at 300 instances. Change: message Refused after two refused checks, from instances that announce their findings; a registration that goes takes no address; outage flows of data centres still out are counted once.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -118,6 +118,7 @@
     /// Targets whose refusal of connections is certain and whose waiting flows are queued.
     refusing: BTreeSet<usize>,
     ended: Vec<EndedTarget>,
+    refusals: Vec<(TargetId, DataCentreId)>,
     outage_losses: OutageLosses,
 }
 
@@ -139,6 +140,7 @@
             resets: ResetQueue::default(),
             refusing: BTreeSet::new(),
             ended: Vec::new(),
+            refusals: Vec::new(),
             outage_losses: OutageLosses::default(),
         }
     }
@@ -190,7 +192,9 @@
             }
             Part::Outages => {
                 self.update_outages(directory, now);
-                self.outage_losses.forget_flows();
+                let targets = &self.targets;
+                self.outage_losses
+                    .retain_flows(|data_centre| targets.is_out_of_service(data_centre));
             }
         }
     }
@@ -312,7 +316,12 @@
     /// Records the outcome of a health check.
     pub fn on_check(&mut self, target: &str, outcome: CheckOutcome, now: Instant) {
         let Some(index) = self.targets.index(target) else { return };
-        let finding = self.targets.health_mut(index).on_check(outcome, now);
+        let health = self.targets.health_mut(index);
+        let finding = health.on_check(outcome, now);
+        if outcome == CheckOutcome::Refused && health.is_refusal_to_announce() {
+            let Registration { target, data_centre, .. } = &self.targets.get(index).registration;
+            self.refusals.push((target.clone(), data_centre.clone()));
+        }
         self.apply_finding(index, finding, now, true);
     }
 
@@ -335,28 +344,46 @@
         let target_data_centre = &self.targets.get(index).registration.data_centre;
         let is_local_target = *target_data_centre == self.setup.data_centre;
         let is_trusted = is_own_data_centre || from.data_centre == *target_data_centre;
-        let is_in_target_data_centre = from.data_centre == *target_data_centre;
-        if condition == TargetCondition::Down && (is_local_target || is_in_target_data_centre) {
-            self.targets.health_mut(index).witness_down(now);
-        }
         if !is_trusted {
             if is_local_target && condition == TargetCondition::Down {
                 self.targets.health_mut(index).confirm_own_finding(now);
             }
             return;
         }
-        let has_waiting_callers = self.has_repeatable_waiting(index);
+        let has_waiting_callers =
+            condition == TargetCondition::Down && self.has_repeatable_waiting(index);
         let health = self.targets.health_mut(index);
         let finding = match condition {
             TargetCondition::Down => health.on_down_report(now),
             TargetCondition::Up => health.on_up_report(),
         };
-        if is_verifier || has_waiting_callers {
+        if is_verifier {
             health.verify_report(now);
+        } else if has_waiting_callers {
+            health.verify_report_unannounced(now);
         }
         self.apply_finding(index, finding, now, false);
     }
 
+    /// Records that the health checks of another instance were refused by a target's host.
+    ///
+    /// An instance of another data centre than the target's may be cut off from a target together
+    /// with this one, unless the target is in this instance's own.
+    pub fn on_refused(&mut self, from: &Member, target: &str, now: Instant) {
+        let Some(index) = self.targets.index(target) else { return };
+        let target_data_centre = &self.targets.get(index).registration.data_centre;
+        let is_local_target = *target_data_centre == self.setup.data_centre;
+        if is_local_target || from.data_centre == *target_data_centre {
+            self.targets.health_mut(index).witness_refusal(now);
+        }
+    }
+
+    /// Returns the targets whose hosts refused the checks of this instance since the last call, to
+    /// be reported like changes of their condition.
+    pub fn take_refusals(&mut self) -> Vec<(TargetId, DataCentreId)> {
+        std::mem::take(&mut self.refusals)
+    }
+
     /// Returns whether this instance verifies the report of `from` on a target by a health check of
     /// its own. One instance in each data centre does, so that a fault of the reporting instance is
     /// not mistaken for a fault of the target.
--- a/lib/src/directory_message.rs
+++ b/lib/src/directory_message.rs
@@ -105,6 +105,12 @@
             #[serde(with = "crate::millis")]
             age: Duration,
         },
+        /// Several consecutive health checks of the sender were refused by the target's host. Sent
+        /// by instances that report the target down.
+        Refused {
+            /// Target whose host refused the connections.
+            target: TargetId,
+        },
     }
 }
 
--- a/lib/src/flow_log.rs
+++ b/lib/src/flow_log.rs
@@ -56,7 +56,7 @@
     pub fn log_ended(&self, ended: &[EndedTarget], now: Instant) {
         for EndedTarget { target, cause, resets, kept } in ended {
             let cause = cause.label();
-            let Some(left_out) = self.limit.allow(cause, now) else { continue };
+            let Some(left_out) = self.limit.allow("ended", now) else { continue };
             log::info!(target = target.as_str(), cause, resets, kept, left_out; "{ENDED}");
         }
     }
--- a/lib/src/instance_peers.rs
+++ b/lib/src/instance_peers.rs
@@ -7,13 +7,14 @@
 use tokio::time::Instant;
 
 use crate::config_tree::children;
+use crate::cookie_forwarder::ConditionChange;
 use crate::cookie_instance::CookieInstance;
 use crate::directory_message::{DirectoryMessage, RecordsMessage};
 use crate::directory_replication::{RecordsOutcome, FIRST_START_PULL_INTERVAL, PULL_INTERVAL};
 use crate::directory_state::DirectoryState;
 use crate::envelope::EnvelopeError;
 use crate::gossip::{GossipMessage, Outgoing};
-use crate::ids::InstanceId;
+use crate::ids::{DataCentreId, InstanceId};
 use crate::message::{EpochNotice, Frame, Message};
 use crate::metrics::Metrics;
 use crate::reader_election::KnownReader;
@@ -188,6 +189,11 @@
                 let Some(member) = view.get(sender) else { return };
                 self.forwarder.lock().on_condition(member, &target, condition, now);
             }
+            DirectoryMessage::Refused { target } => {
+                let view = self.view();
+                let Some(member) = view.get(sender) else { return };
+                self.forwarder.lock().on_refused(member, &target, now);
+            }
         }
     }
 
@@ -238,21 +244,29 @@
     /// Reports changed conditions of targets to the instances that accept the reports: those in
     /// this data centre and in the target's, and all instances if these are the same.
     pub(crate) fn announce_condition_changes(&self) {
-        let changes = self.forwarder.lock().take_condition_changes();
-        let view = self.view();
-        for change in changes {
-            let is_local = change.data_centre == self.data_centre;
-            let accepts_report = |it: &&Member| {
-                is_local
-                    || it.data_centre == self.data_centre
-                    || it.data_centre == change.data_centre
-            };
-            let others = view.members().iter().filter(|it| it.id != self.id);
-            let to = others.filter(accepts_report).map(|member| member.peer);
-            let (target, condition) = (change.target, change.condition);
+        let (changes, refusals) = {
+            let mut forwarder = self.forwarder.lock();
+            (forwarder.take_condition_changes(), forwarder.take_refusals())
+        };
+        for ConditionChange { target, condition, data_centre } in changes {
             let message = DirectoryMessage::Condition { target, condition };
-            self.link.send(to, Message::Directory(message));
+            self.report_on_target(&data_centre, message);
         }
+        for (target, data_centre) in refusals {
+            self.report_on_target(&data_centre, DirectoryMessage::Refused { target });
+        }
+    }
+
+    /// Sends a report on a target in a data centre to the instances that accept it.
+    fn report_on_target(&self, data_centre: &DataCentreId, message: DirectoryMessage) {
+        let is_local = *data_centre == self.data_centre;
+        let accepts_report = |it: &&Member| {
+            is_local || it.data_centre == self.data_centre || it.data_centre == *data_centre
+        };
+        let view = self.view();
+        let others = view.members().iter().filter(|it| it.id != self.id);
+        let to = others.filter(accepts_report).map(|member| member.peer);
+        self.link.send(to, Message::Directory(message));
     }
 
     pub(crate) fn broadcast(&self, message: DirectoryMessage) {
--- a/lib/src/outage_losses.rs
+++ b/lib/src/outage_losses.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use crate::collections::HashSet;
+use crate::collections::HashMap;
 use crate::ids::{DataCentreId, ServiceId};
 use crate::segment::FlowEnds;
 
@@ -38,7 +38,7 @@
     /// Packets and flows by data centre and service.
     counts: BTreeMap<(DataCentreId, ServiceId), (u64, u64)>,
     /// Flows that were counted.
-    flows: HashSet<FlowEnds>,
+    flows: HashMap<FlowEnds, DataCentreId>,
     reported_at: Option<Instant>,
 }
 
@@ -46,7 +46,7 @@
     /// Counts a dropped packet.
     pub fn record(&mut self, data_centre: &DataCentreId, service: &ServiceId, ends: FlowEnds) {
         let has_room = self.flows.len() < MAX_DISTINCT_FLOWS;
-        let is_new = has_room && self.flows.insert(ends);
+        let is_new = has_room && self.flows.insert(ends, data_centre.clone()).is_none();
         let key = (data_centre.clone(), service.clone());
         let (packets, flows) = self.counts.entry(key).or_default();
         *packets += 1;
@@ -71,8 +71,12 @@
         report.collect()
     }
 
-    /// Forgets which flows were counted, once the data centres out of service have changed.
-    pub fn forget_flows(&mut self) {
-        self.flows.clear();
+    /// Forgets which flows were counted, except those of data centres that are still out of service.
+    pub fn retain_flows(&mut self, is_out_of_service: impl Fn(&str) -> bool) {
+        let mut is_out = HashMap::default();
+        self.flows.retain(|_, data_centre| {
+            let known = is_out.entry(data_centre.clone());
+            *known.or_insert_with(|| is_out_of_service(data_centre))
+        });
     }
 }
--- a/lib/src/target_health.rs
+++ b/lib/src/target_health.rs
@@ -78,9 +78,11 @@
     refused_checks: u32,
     /// Time of the first of these checks.
     refused_since: Option<Instant>,
-    /// Time of the last report that the target is down from an instance which is not cut off from
-    /// the target together with this one.
+    /// Time at which an instance that is not cut off from the target together with this one last
+    /// reported that its own checks were refused.
     witnessed_at: Option<Instant>,
+    /// Whether the outcome of the scheduled check of a report is for this instance only.
+    is_unannounced: bool,
 }
 
 impl TargetHealth {
@@ -127,8 +129,8 @@
 
     /// Returns the time since which the target's host refuses connections to it; `None` unless that
     /// is certain. It is certain once [`CONFIRM_DOWN_CHECKS`] consecutive checks by this instance
-    /// were refused, no caller has shown progress since, and a witness reported the target down too
-    /// (see [`Self::witness_down`]).
+    /// were refused, no caller has shown progress since, and a witness had its checks refused too
+    /// (see [`Self::witness_refusal`]).
     pub fn refused_since(&self) -> Option<Instant> {
         let refused_since = self.refused_since?;
         let is_witnessed =
@@ -137,9 +139,15 @@
         (is_refused && is_witnessed && self.is_confirmed_down()).then_some(refused_since)
     }
 
-    /// Records that an instance which is not cut off from the target together with this one reported
-    /// the target down.
-    pub fn witness_down(&mut self, now: Instant) {
+    /// Returns whether the last check was the one that completed [`CONFIRM_DOWN_CHECKS`] consecutive
+    /// refused checks, which this instance reports to others if it announces its findings.
+    pub fn is_refusal_to_announce(&self) -> bool {
+        self.refused_checks == CONFIRM_DOWN_CHECKS && !self.is_unannounced
+    }
+
+    /// Records that an instance which is not cut off from the target together with this one had its
+    /// checks refused.
+    pub fn witness_refusal(&mut self, now: Instant) {
         self.witnessed_at = Some(now);
     }
 
@@ -159,6 +167,17 @@
     pub fn verify_report(&mut self, now: Instant) {
         if matches!(self.condition, Condition::Down { hearsay_until: Some(_) }) {
             self.next_check_at.get_or_insert(now);
+            self.is_unannounced = false;
+        }
+    }
+
+    /// Schedules an immediate health check like [`Self::verify_report`], whose outcome is for this
+    /// instance only. Many instances may do so for one report, and must not all report to all.
+    pub fn verify_report_unannounced(&mut self, now: Instant) {
+        let is_reported = matches!(self.condition, Condition::Down { hearsay_until: Some(_) });
+        if is_reported && self.next_check_at.is_none() && !self.is_checking {
+            self.next_check_at = Some(now);
+            self.is_unannounced = true;
         }
     }
 
@@ -267,6 +286,7 @@
         self.reported_at = None;
         self.witnessed_at = None;
         self.next_check_at = None;
+        self.is_unannounced = false;
         self.forget_refusals();
         if was_down {
             HealthTransition::Recovered
@@ -290,6 +310,7 @@
         self.next_check_at = Some(now + backoff);
         match previous {
             Condition::Down { hearsay_until: None } => HealthTransition::Unchanged,
+            Condition::Down { .. } if self.is_unannounced => HealthTransition::Unchanged,
             Condition::Down { hearsay_until: Some(_) } => HealthTransition::Confirmed,
             _ => HealthTransition::WentDown,
         }
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -319,6 +319,13 @@
         }
     }
 
+    /// Returns whether a data centre with known targets is out of service.
+    pub fn is_out_of_service(&self, data_centre: &str) -> bool {
+        let mut entries = self.entries.iter();
+        let found = entries.find(|entry| entry.registration.data_centre == data_centre);
+        found.is_some_and(|entry| entry.out_of_service_since.is_some())
+    }
+
     fn insert(&mut self, registration: &Registration, now: Instant) {
         let index = self.entries.len();
         let cookie = self.cookies.cookie(&registration.service, &registration.target);
@@ -351,6 +358,7 @@
     /// has the address now. The other one has ended.
     fn assign_address(&mut self, index: usize) {
         let address = self.entries[index].address();
+        let is_gone = self.entries[index].registration.state == RegistrationState::Gone;
         let started = |entry: &TargetEntry| entry.registration.started;
         let holder = self.by_address.get(&address).copied().filter(|other| {
             let other = &self.entries[*other];
@@ -358,14 +366,16 @@
         });
         let earlier = match holder {
             Some(_) => Some(index),
+            // What is gone cannot show that the present target of the address has ended.
+            None if is_gone => None,
             None => self
                 .by_address
                 .insert(address, index)
                 .filter(|other| *other != index && self.entries[*other].address() == address),
         };
         if let Some(earlier) = earlier {
-            self.entries[earlier].has_ended = true;
-            self.ended.push(earlier);
+            let was_known = std::mem::replace(&mut self.entries[earlier].has_ended, true);
+            self.ended.extend((!was_known).then_some(earlier));
         }
     }
 }
--- a/lib/tests/test_ended_target.rs
+++ b/lib/tests/test_ended_target.rs
@@ -159,10 +159,16 @@
         self.forwarder.on_condition(&from, TARGET, TargetCondition::Down, Instant::now());
     }
 
+    /// Reports the target down on behalf of an instance whose checks were refused.
+    fn report_refused(&mut self, from: &str, data_centre: &str) {
+        self.report_down(from, data_centre);
+        self.forwarder.on_refused(&member(from, data_centre), TARGET, Instant::now());
+    }
+
     /// Refuses two checks of this instance, and has its neighbour report the target down.
     async fn refuse_everywhere(&mut self) {
         self.check(CheckOutcome::Refused, 2).await;
-        self.report_down("y", "a");
+        self.report_refused("y", "a");
     }
 }
 
@@ -244,7 +250,7 @@
         fixture.send_request(FEEDS);
         fixture.check(CheckOutcome::Refused, 1).await;
         fixture.check(outcome, 4).await;
-        fixture.report_down("y", "a");
+        fixture.report_refused("y", "a");
         assert!(fixture.tick().await.is_empty(), "{outcome:?}");
     }
 }
@@ -260,12 +266,50 @@
     let mut cut_off = Fixture::new("b");
     let (feed, _) = cut_off.send_request(FEEDS);
     cut_off.refuse_everywhere().await;
-    cut_off.report_down("z", "c");
+    cut_off.report_refused("z", "c");
     assert!(cut_off.tick().await.is_empty());
-    cut_off.report_down("w", "b");
+    cut_off.report_refused("w", "b");
     assert_eq!(cut_off.tick().await, [feed]);
 }
 
+/// Load: a target hangs, and connections of one instance to it are refused by a fault on the way.
+#[tokio::test(start_paused = true)]
+async fn end_cause_witness_must_be_refused_too() {
+    let mut fixture = Fixture::new("a");
+    fixture.send_request(FEEDS);
+    fixture.check(CheckOutcome::Refused, 2).await;
+    fixture.report_down("y", "a");
+    assert!(fixture.tick().await.is_empty());
+}
+
+/// Load: one of 300 instances reports a target down for which callers wait at all of them. If each
+/// reported its own check, that would be 90,000 messages.
+#[tokio::test(start_paused = true)]
+async fn on_condition_check_for_waiting_callers_is_not_announced() {
+    let mut fixture = Fixture::new("a");
+    let members = ["x", "y", "v1", "v2", "v3", "v4", "v5", "v6", "v7", "v8"];
+    fixture.forwarder.set_view(Arc::new(View::new(members.map(|it| member(it, "a")).to_vec())));
+    fixture.send_request(FEEDS);
+    fixture.report_down("y", "a");
+    assert_eq!(fixture.forwarder.tick(Instant::now()).len(), 1);
+    fixture.check(CheckOutcome::Refused, 2).await;
+    assert_eq!(fixture.forwarder.take_condition_changes(), []);
+    assert!(fixture.forwarder.take_refusals().is_empty());
+}
+
+/// Load: the former target of an address leaves the store after its successor has registered; their
+/// start times are unknown.
+#[tokio::test(start_paused = true)]
+async fn end_cause_registration_that_goes_takes_no_address() {
+    let mut fixture = Fixture::new("a");
+    let former = Registration { address: target(1).address, started: 0, ..target(2) };
+    fixture.register(former.clone());
+    fixture.register(Registration { started: 0, ..target(1) });
+    fixture.send_request(FEEDS);
+    fixture.register(Registration { state: RegistrationState::Gone, ..former });
+    assert!(fixture.tick().await.is_empty());
+}
+
 /// Load: refusals are observed, but a caller shows that the target answers.
 #[tokio::test(start_paused = true)]
 async fn end_cause_progress_of_a_caller_outweighs_refusals() {
@@ -275,7 +319,7 @@
     fixture.check(CheckOutcome::Refused, 2).await;
     let answered = Segment { ack: ACK + 1, data_len: 0, ..request(other, cookie) };
     fixture.forwarder.on_segment(&answered, Instant::now());
-    fixture.report_down("y", "a");
+    fixture.report_refused("y", "a");
     assert!(fixture.tick().await.is_empty());
 }
 
--- a/lib/tests/test_outage_losses.rs
+++ b/lib/tests/test_outage_losses.rs
@@ -29,7 +29,10 @@
     record(&mut losses);
     assert!(losses.take_report(now).is_empty());
     assert_eq!(losses.take_report(now + REPORT_INTERVAL), [loss(3, 0)]);
-    losses.forget_flows();
+    losses.retain_flows(|data_centre| data_centre == "a");
     record(&mut losses);
-    assert_eq!(losses.take_report(now + 2 * REPORT_INTERVAL), [loss(3, 2)]);
+    assert_eq!(losses.take_report(now + 2 * REPORT_INTERVAL), [loss(3, 0)]);
+    losses.retain_flows(|data_centre| data_centre == "b");
+    record(&mut losses);
+    assert_eq!(losses.take_report(now + 3 * REPORT_INTERVAL), [loss(3, 2)]);
 }
