--- a/lib/src/cookie_instance.rs
+++ b/lib/src/cookie_instance.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -449,6 +449,9 @@
             if forwarder.refresh_rooms(now) {
                 self.log.log_spillovers(&forwarder, now);
             }
+            if let Ok(unix_time) = SystemTime::now().duration_since(UNIX_EPOCH) {
+                forwarder.set_unix_time(now, unix_time);
+            }
             (forwarder.tick(now), self.take_opening_outcomes(&mut forwarder, now))
         };
         self.carry_out_openings(now, &openings, &mut Vec::new());
--- a/lib/src/directory_message.rs
+++ b/lib/src/directory_message.rs
@@ -139,6 +139,12 @@
         },
         /// Reports the demand of callers.
         Demand(DemandReport),
+        /// Several consecutive health checks of the sender were refused by the target's host. Sent
+        /// by instances that report the target down.
+        Refused {
+            /// Target whose host refused the connections.
+            target: TargetId,
+        },
     }
 }
 
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -158,6 +158,8 @@
     ended: Vec<usize>,
     /// Time at which the store last confirmed the registrations; `None` if it never has.
     confirmed_at: Option<Instant>,
+    /// Unix time at an instant, by this instance's clock.
+    unix_time: Option<(Instant, Duration)>,
 }
 
 impl TargetTable {
@@ -175,6 +177,7 @@
             unsettled: BTreeSet::new(),
             ended: Vec::new(),
             confirmed_at: None,
+            unix_time: None,
         }
     }
 
@@ -270,6 +273,11 @@
         self.confirmed_at = at;
     }
 
+    /// Sets the Unix time at `now`.
+    pub fn set_unix_time(&mut self, now: Instant, unix_time: Duration) {
+        self.unix_time = Some((now, unix_time));
+    }
+
     /// Returns the targets whose address was reassigned, or that started again under their name,
     /// since the last call.
     pub fn take_ended(&mut self) -> Vec<usize> {
@@ -313,9 +321,9 @@
             entry.has_ended = false;
             let former = entry.registration.started;
             if former > 0 && registration.started > former {
-                // The store still had the former run when it last confirmed the registrations.
-                entry.restarted_after =
-                    self.confirmed_at.and_then(|at| at.checked_sub(RESTART_DOUBT));
+                let times = self.confirmed_at.zip(instant_at(self.unix_time, registration.started));
+                let earlier = times.map(|(confirmed_at, started_at)| confirmed_at.min(started_at));
+                entry.restarted_after = earlier.and_then(|at| at.checked_sub(RESTART_DOUBT));
                 self.ended.push(index);
             }
         }
@@ -339,6 +347,13 @@
         }
     }
 
+    /// Returns whether a data centre with known targets is out of service.
+    pub fn is_out_of_service(&self, data_centre: &str) -> bool {
+        let mut entries = self.entries.iter();
+        let found = entries.find(|entry| entry.registration.data_centre == data_centre);
+        found.is_some_and(|entry| entry.out_of_service_since.is_some())
+    }
+
     fn insert(&mut self, registration: &Registration, now: Instant) {
         let index = self.entries.len();
         let cookie = self.cookies.cookie(&registration.service, &registration.target);
@@ -372,6 +387,7 @@
     /// has the address now. The other one has ended.
     fn assign_address(&mut self, index: usize) {
         let address = self.entries[index].address();
+        let is_gone = self.entries[index].registration.state == RegistrationState::Gone;
         let started = |entry: &TargetEntry| entry.registration.started;
         let holder = self.by_address.get(&address).copied().filter(|other| {
             let other = &self.entries[*other];
@@ -379,14 +395,24 @@
         });
         let earlier = match holder {
             Some(_) => Some(index),
+            // What is gone cannot show that the present target of the address has ended.
+            None if is_gone => None,
             None => self
                 .by_address
                 .insert(address, index)
                 .filter(|other| *other != index && self.entries[*other].address() == address),
         };
         if let Some(earlier) = earlier {
-            self.entries[earlier].has_ended = true;
-            self.ended.push(earlier);
+            let was_known = std::mem::replace(&mut self.entries[earlier].has_ended, true);
+            self.ended.extend((!was_known).then_some(earlier));
         }
     }
 }
+
+/// Returns the instant of a Unix time in milliseconds that has passed by this instance's clock;
+/// `None` if it has not, or the clock is unknown.
+fn instant_at(unix_time: Option<(Instant, Duration)>, unix_ms: u64) -> Option<Instant> {
+    let (now, unix_now) = unix_time?;
+    let since = unix_now.checked_sub(Duration::from_millis(unix_ms))?;
+    now.checked_sub(since)
+}
