scarce_room: a request in an open flow gives no room back

Cause: the bound on what requests of open flows may take raised a balance that openings of higher precedence had overdrawn by more than one step, with three precedences in use. Change: the balance is never raised. Conclusion: record_request_gives_no_room_back.

--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -175,7 +175,8 @@
 
     fn record_request(&mut self, service: &ServiceId, room: Option<&ServiceRoom>, now: Instant) {
         if let Some(pace) = self.pace(service, room, now) {
-            pace.balance = (pace.balance - 1.0).max(-pace.overdraft_step());
+            let lowest = -pace.overdraft_step();
+            pace.balance = pace.balance.min((pace.balance - 1.0).max(lowest));
         }
     }
 }
--- a/lib/tests/test_scarce_room.rs
+++ b/lib/tests/test_scarce_room.rs
@@ -524,3 +524,16 @@
     assert_eq!(count_placed(&mut policy, 1, &room, later), 0);
     assert!(count_placed(&mut policy, 1, &room, later + Duration::from_millis(500)) > 0);
 }
+
+/// Load: the most urgent of three precedences runs ahead as far as it may, then a request arrives in
+/// an open flow.
+#[test]
+fn record_request_gives_no_room_back() {
+    let now = Instant::now();
+    let room = room(10, Some(SCARCE), Some(0.1));
+    let mut policy = ranked();
+    let placed = [2, 1, 0].map(|precedence| count_placed(&mut policy, precedence, &room, now));
+    assert!(placed[1] > 0 && placed[2] > 0, "placed {placed:?}");
+    policy.record_request(&SERVICE.into(), Some(&room), now);
+    assert_eq!(count_placed(&mut policy, 0, &room, now), 0);
+}
