scarce_room: refuse at once what gets no turn in time

Cause: the wait was estimated from the openings ahead alone, so a less urgent opening was held although urgent ones had overdrawn the balance by more than it could wait for. Ruled out: one request more than the deficit, as a review proposed: the deficit contains the request itself, and at 1 or 2 requests a second every opening would be refused. Change: the wait is that of the deficit and of the openings ahead, or that of the guaranteed share. Conclusion: decide_refuses_what_gets_no_turn_in_time fails without it.

--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -273,8 +273,9 @@
         }
         let burst = (self.rate * BURST_TIME.as_secs_f64()).max(1.0);
         self.balance = (self.balance + self.rate * elapsed).min(burst);
+        let guaranteed = self.guaranteed_rate() * elapsed;
         for precedence in self.precedences.values_mut() {
-            let credit = precedence.credit + self.rate * GUARANTEED_SHARE * elapsed;
+            let credit = precedence.credit + guaranteed;
             precedence.credit = credit.min(1.0);
         }
     }
@@ -317,7 +318,7 @@
             return OpeningDecision::Place;
         }
         let waited = opening.waited(now);
-        let wait = Duration::try_from_secs_f64(ahead as f64 / self.rate).unwrap_or(Duration::MAX);
+        let wait = self.wait(opening.precedence, ahead, now);
         let placed_after = waited.saturating_add(wait);
         let answered_after = placed_after.saturating_add(opening.work);
         if !opening.timeout.is_zero() && answered_after >= opening.timeout {
@@ -329,6 +330,23 @@
         }
     }
 
+    /// Returns the time until an opening gets its turn, with `ahead` others before it, from the rate
+    /// or from the guaranteed share of its precedence.
+    fn wait(&self, precedence: u8, ahead: usize, now: Instant) -> Duration {
+        let ahead = ahead as f64;
+        let deficit = (-self.overdraft(precedence, now) - self.balance).max(0.0);
+        let from_rate = (ahead + deficit) / self.rate;
+        let credit = self.precedences.get(&precedence).map_or(0.0, |it| it.credit);
+        let from_guaranteed = (ahead + 1.0 - credit) / self.guaranteed_rate();
+        let seconds = from_rate.min(from_guaranteed).max(0.0);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the openings per second that each precedence keeps.
+    fn guaranteed_rate(&self) -> f64 {
+        self.rate * GUARANTEED_SHARE
+    }
+
     /// Takes the room for one request, and returns whether there was any.
     fn take_room(&mut self, precedence: u8, now: Instant) -> bool {
         let has_room = self.balance > -self.overdraft(precedence, now);
--- a/lib/tests/test_scarce_room.rs
+++ b/lib/tests/test_scarce_room.rs
@@ -537,3 +537,19 @@
     policy.record_request(&SERVICE.into(), Some(&room), now);
     assert_eq!(count_placed(&mut policy, 0, &room, now), 0);
 }
+
+/// Load: urgent openings have run ahead of the rate, so that a less urgent one gets no turn before
+/// its limit. It is refused at once, and only that one.
+#[test]
+fn decide_refuses_what_gets_no_turn_in_time() {
+    let now = Instant::now();
+    let room = room(10, Some(SCARCE), Some(0.1));
+    let mut policy = ranked();
+    let placed = [1, 0].map(|precedence| count_placed(&mut policy, precedence, &room, now));
+    assert!(placed[1] > 0, "placed {placed:?}");
+    let mut decide =
+        |precedence, aim| policy.decide(&opening(precedence, aim, now), Some(&room), 0, now);
+    assert_eq!(decide(1, 400), OpeningDecision::Refuse(ResetReason::NoRoom));
+    assert_eq!(decide(1, 4_000), OpeningDecision::Hold);
+    assert_eq!(decide(0, 400), OpeningDecision::Hold);
+}
