scarce_room: guaranteed shares take at most half of the rate together

Cause: each precedence kept a twentieth of the rate, so 40 of them placed twice the rate. Change: the share of each is bounded by half of the rate over the precedences in use. The model counts the placed requests by second and holds them to the capacity with 300 instances.

--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -65,9 +65,13 @@
 const OVERDRAFT_TIME: Duration = Duration::from_millis(100);
 /// Least number of requests that an opening may run ahead for each less urgent precedence.
 const MIN_OVERDRAFT: f64 = 3.0;
+/// Largest number of less urgent precedences that count for an overdraft, which bounds it to 0.3 s
+/// of the rate.
 const MAX_OVERDRAFT_STEPS: usize = 3;
 /// Share of the rate that each precedence keeps.
 pub const GUARANTEED_SHARE: f64 = 0.05;
+/// Share of the rate that all precedences in use keep together, at most. The rest goes by urgency.
+const MAX_GUARANTEED_SHARE: f64 = 0.5;
 /// Time constant of the average of this instance's share. The figure compares own requests with an
 /// older sum over all instances, so it is wrong while either changes.
 const OWN_SHARE_TIME_CONSTANT: Duration = Duration::from_secs(5);
@@ -237,6 +241,12 @@
     credit: f64,
 }
 
+impl Precedence {
+    fn is_in_use(&self, now: Instant) -> bool {
+        now < self.last_seen_at + PRECEDENCE_TIMEOUT
+    }
+}
+
 impl Pace {
     fn new(figures: &RoomFigures, now: Instant) -> Self {
         Self {
@@ -344,7 +354,8 @@
 
     /// Returns the openings per second that each precedence keeps.
     fn guaranteed_rate(&self) -> f64 {
-        self.rate * GUARANTEED_SHARE
+        let in_use = self.precedences.values().filter(|it| it.is_in_use(self.updated_at)).count();
+        self.rate * GUARANTEED_SHARE.min(MAX_GUARANTEED_SHARE / in_use.max(1) as f64)
     }
 
     /// Takes the room for one request, and returns whether there was any.
@@ -372,7 +383,7 @@
     /// a step for each less urgent precedence that is in use.
     fn overdraft(&self, precedence: u8, now: Instant) -> f64 {
         let lower = self.precedences.range(precedence..).skip(1);
-        let in_use = lower.filter(|(_, it)| now < it.last_seen_at + PRECEDENCE_TIMEOUT);
+        let in_use = lower.filter(|(_, it)| it.is_in_use(now));
         in_use.take(MAX_OVERDRAFT_STEPS).count() as f64 * self.overdraft_step()
     }
 
--- a/lib/tests/test_scarce_room.rs
+++ b/lib/tests/test_scarce_room.rs
@@ -90,6 +90,8 @@
     stalls: bool,
     start: Instant,
     served: Vec<Served>,
+    /// Number of placed requests by second.
+    placed: Vec<u32>,
 }
 
 fn route(precedence: u8, aim: u64, port: u16) -> Route {
@@ -136,6 +138,7 @@
             stalls,
             start: Instant::now(),
             served: vec![Served::default(); kinds.len()],
+            placed: vec![0; 13],
         };
         model.at(FIGURES_PERIOD, Event::Figures);
         (0..kinds.len()).for_each(|kind| model.at(0, Event::Arrive(kind)));
@@ -277,6 +280,7 @@
         let target = self.random.below(self.targets.len() as u64) as usize;
         self.requests[request].3 = instance;
         self.counted[instance].0 += 1.0;
+        self.placed[(at / SECOND) as usize] += 1;
         let (running, queue) = &mut self.targets[target];
         if *running < SLOTS {
             self.run(at, target, request);
@@ -403,6 +407,11 @@
     let kinds = [Kind(0, 500, 39, 100.0, 100.0), Kind(1, 400, 30, 400.0, 1_600.0)];
     let [at_once, ranked] = play_two(&kinds, 12, 300, false);
     assert!(ranked.in_aim(0) >= 0.95 && ranked.in_aim(0) > at_once.in_aim(0));
+    // The figures show the burst after a second.
+    let capacity = room(12 * SLOTS, None, None).capacity_per_second().unwrap();
+    let (paced, bound) = (&ranked.placed[5..9], capacity * 1.15);
+    println!("placed by second {:?} {:?}", ranked.placed, at_once.placed);
+    assert!(paced.iter().all(|it| f64::from(*it) <= bound), "placed {paced:?} of {capacity}");
     assert!(3 * ranked.turned_away() <= at_once.turned_away());
 }
 
@@ -553,3 +562,21 @@
     assert_eq!(decide(1, 4_000), OpeningDecision::Hold);
     assert_eq!(decide(0, 400), OpeningDecision::Hold);
 }
+
+/// Load: 40 precedences always ask for more than the whole room.
+#[test]
+fn decide_guaranteed_shares_of_many_precedences_keep_the_rate() {
+    let (mut policy, room) = (ranked(), room(10, Some(SCARCE), Some(0.1)));
+    let (mut now, mut urgent, mut others) = (Instant::now(), 0, 0);
+    (0..40).for_each(|it| {
+        policy.decide(&opening(it, 400, now), Some(&room), 0, now);
+    });
+    for _ in 0..1_000 {
+        now += Duration::from_millis(10);
+        urgent += count_placed(&mut policy, 0, &room, now);
+        let lower = (1..40).map(|it| count_placed(&mut policy, it, &room, now));
+        others += lower.sum::<u32>();
+    }
+    assert!(f64::from(urgent + others) <= 600.0 * 1.15, "placed {urgent} and {others}");
+    assert!(2 * urgent >= others, "placed {urgent} and {others}");
+}
