cookie_forwarder: place held openings when instances join or leave

Cause: the fabric may send the copies of a held opening to another instance once the instances change, which places it as well, so one opening could reach two targets. Change: the tick after a view with another digest places all that is held, in order. Conclusion: tick_changed_members_places_held_openings fails without it. An instance that sees the change later than the fabric still leaves a gap of that time.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -120,6 +120,8 @@
     targets: TargetTable,
     watch: FlowTracker,
     view: Arc<View>,
+    /// Whether instances joined or left since held openings were last released.
+    has_other_members: bool,
     rooms: HashMap<ServiceId, ServiceRoom>,
     slow_targets: SlowTargets,
     room_table: RoomTable,
@@ -151,6 +153,7 @@
             routes: RouteTable::default(),
             watch: FlowTracker::default(),
             view: Arc::default(),
+            has_other_members: false,
             rooms: HashMap::default(),
             admission: OpeningAdmission::new(Box::new(ScarceRoom::default())),
             work: RouteWork::default(),
@@ -181,8 +184,11 @@
         &self.watch
     }
 
-    /// Sets the live instances, among which senders to cold targets are ranked.
+    /// Sets the live instances, among which senders to cold targets are ranked. If other instances
+    /// are alive than before, the next tick places all held openings, since the fabric may send
+    /// further copies of them to another instance.
     pub fn set_view(&mut self, view: Arc<View>) {
+        self.has_other_members |= view.digest() != self.view.digest();
         self.view = view;
     }
 
@@ -327,9 +333,12 @@
         }
     }
 
-    /// Releases held openings, counts unanswered openings against their targets, expires old state, and returns the health
-    /// checks that are due.
+    /// Releases held openings, counts unanswered openings against their targets, expires old state,
+    /// and returns the health checks that are due.
     pub fn tick(&mut self, now: Instant) -> Vec<DueCheck> {
+        if std::mem::take(&mut self.has_other_members) {
+            self.place_held_openings(now);
+        }
         self.release_openings(now);
         self.admission.expire_released(HANDSHAKE_TIMEOUT, now);
         for target in self.watch.take_unanswered(now, HANDSHAKE_TIMEOUT) {
@@ -677,6 +686,14 @@
         }
     }
 
+    /// Places all held openings in order.
+    fn place_held_openings(&mut self, now: Instant) {
+        for held in self.admission.take_held(now) {
+            let verdict = self.place(&held.segment, &held.opening.service, now);
+            self.admission.finish(held, verdict, &self.rooms, now);
+        }
+    }
+
     /// Places the held openings whose route has changed, and rejects those whose route was removed.
     fn release_rerouted_openings(&mut self, now: Instant) {
         for held in self.admission.take_held(now) {
--- a/lib/tests/test_opening_admission.rs
+++ b/lib/tests/test_opening_admission.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 };
 use hollyhead::scarce_room::MAX_HOLD_TIME;
 use hollyhead::segment::{Control, FlowEnds, Segment, SegmentFormat};
+use hollyhead::view::{Member, MemberState, View};
 use testutils::bandwidth_limited_network::LinkLimits;
 use testutils::cookie_fleet::{ready_registration, CookieFleet};
 use testutils::json_segment::{encode, opening, JsonFormat};
@@ -58,6 +59,19 @@
     HashMap::from_iter([(SERVICE.into(), ServiceRoom { data_centres, work, own_share: Some(0.1) })])
 }
 
+fn member(name: &str, data_centre: &str) -> Member {
+    let peer = SocketAddr::from(([10, 0, 0, 1], 7_000));
+    Member {
+        id: name.into(),
+        data_centre: data_centre.into(),
+        peer,
+        request: peer,
+        epoch: 1,
+        incarnation: 0,
+        state: MemberState::Alive,
+    }
+}
+
 fn ends(caller: u16, service: SocketAddrV4) -> FlowEnds {
     FlowEnds { caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), 20_000 + caller), service }
 }
@@ -261,6 +275,33 @@
     }
 }
 
+/// Load: two openings wait when an instance joins, and when one leaves. The fabric may send their
+/// copies elsewhere from then on, so they are placed at once, the urgent one first.
+#[tokio::test(start_paused = true)]
+async fn tick_changed_members_places_held_openings() {
+    let mut fixture = Fixture::new(true);
+    for names in [&["x", "y"][..], &["x"], &["x", "y", "z"]] {
+        fixture.tick(TICK * 100).await;
+        fixture.take_released();
+        let flows = [OTHER, URGENT].map(|address| {
+            let mut flows = (0..40).map(|caller| ends(caller, address));
+            flows.find(|flow| fixture.open(*flow, 0) == CookieVerdict::Hold).unwrap()
+        });
+        let view = Arc::new(View::new(names.iter().map(|name| member(name, "a")).collect()));
+        fixture.forwarder.set_view(Arc::clone(&view));
+        fixture.forwarder.tick(Instant::now());
+        let released = fixture.take_released();
+        assert_eq!(released.iter().map(|it| it.0.ends).collect::<Vec<_>>(), [flows[1], flows[0]]);
+        released.iter().for_each(|it| {
+            target_of(it.1);
+        });
+        fixture.open_until_held(40..80);
+        fixture.forwarder.set_view(view);
+        fixture.forwarder.tick(Instant::now());
+        assert_eq!((fixture.forwarder.held_openings(), fixture.take_released()), (1, vec![]));
+    }
+}
+
 /// Load: openings within the capacity, and the same ones while the room is unknown. The verdicts are
 /// the same.
 #[tokio::test(start_paused = true)]
