opening_queue, opening_admission: bounds hold after copies; release by service on arrival

Cause: a larger copy of a held opening could take the queue over its bytes; one service could take the places of all others; each arriving opening had all held openings of all services sorted and decided, and each push ranked all of them. Change: what is over a bound is refused until none is, the last of the service that holds most; ranks are computed only then. An arrival releases openings of its own service, the tick all. Conclusion: take_excess_takes_from_the_service_that_holds_most and take_excess_after_larger_copies_keeps_the_bytes. The tests of push call push and take_excess now and ask for the same. No test shows that an arrival leaves other services alone.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -620,9 +620,9 @@
     }
 
     fn open_flow(&mut self, segment: &Segment, packet: &[u8], now: Instant) -> CookieVerdict {
-        let is_held = self.admission.replace_copy(segment, packet);
-        self.release_openings(now);
-        if is_held {
+        let held = self.admission.replace_copy(segment, packet, &self.rooms, now);
+        if let Some(service) = held {
+            self.release_openings_of(&service, now);
             return CookieVerdict::Hold;
         }
         let opening = match self.opening(segment, now) {
@@ -630,6 +630,7 @@
             Err(verdict) => return verdict,
         };
         let service = opening.service.clone();
+        self.release_openings_of(&service, now);
         if let Some(last) = self.watch.half_open(&segment.ends).map(|opening| opening.target) {
             // A copy that follows the release of a held opening closely does not show a failure.
             if self.admission.was_released(&segment.ends, HANDSHAKE_TIMEOUT, now)
@@ -677,7 +678,21 @@
         if self.admission.held() == 0 {
             return;
         }
-        for (held, decision) in self.admission.take_decided(&self.rooms, now) {
+        let decided = self.admission.take_decided(&self.rooms, now);
+        self.carry_out_decided(decided, now);
+    }
+
+    /// Places or refuses the held openings of one service that need not wait any longer.
+    fn release_openings_of(&mut self, service: &str, now: Instant) {
+        if self.admission.held() == 0 {
+            return;
+        }
+        let decided = self.admission.take_decided_of(service, &self.rooms, now);
+        self.carry_out_decided(decided, now);
+    }
+
+    fn carry_out_decided(&mut self, decided: Vec<(HeldOpening, OpeningDecision)>, now: Instant) {
+        for (held, decision) in decided {
             let verdict = match decision {
                 OpeningDecision::Refuse(reason) => CookieVerdict::Reset(reason),
                 _ => self.place(&held.segment, &held.opening.service, now),
--- a/lib/src/opening_admission.rs
+++ b/lib/src/opening_admission.rs
@@ -78,10 +78,25 @@
         self.queue.len()
     }
 
-    /// Replaces the packet of a held opening by a copy that its caller has sent. Returns `false` if
-    /// the flow's opening is not held.
-    pub fn replace_copy(&mut self, segment: &Segment, datagram: &[u8]) -> bool {
-        self.queue.replace_copy(segment, datagram)
+    /// Replaces the packet of a held opening by a copy that its caller has sent, and returns the
+    /// service of the opening. Returns `None` if the flow's opening is not held.
+    pub fn replace_copy(
+        &mut self,
+        segment: &Segment,
+        datagram: &[u8],
+        rooms: &Rooms,
+        now: Instant,
+    ) -> Option<ServiceId> {
+        let service = self.queue.replace_copy(segment, datagram)?;
+        self.refuse_excess(rooms, now);
+        Some(service)
+    }
+
+    /// Refuses openings until the queue is within its bounds.
+    fn refuse_excess(&mut self, rooms: &Rooms, now: Instant) {
+        while let Some(excess) = self.queue.take_excess(now) {
+            self.finish(excess, CookieVerdict::Reset(ResetReason::NoRoom), rooms, now);
+        }
     }
 
     /// Returns the decision on an opening that arrives, and keeps its packet if it is held.
@@ -106,25 +121,45 @@
             OpeningDecision::Hold => {
                 self.record("held", opening.clone(), room, None, now);
                 let (segment, datagram) = (*packet.0, packet.1.to_vec());
-                let evicted = self.queue.push(HeldOpening { opening, segment, datagram }, now);
-                if let Some(evicted) = evicted {
-                    self.finish(evicted, CookieVerdict::Reset(ResetReason::NoRoom), rooms, now);
-                }
+                self.queue.push(HeldOpening { opening, segment, datagram });
+                self.refuse_excess(rooms, now);
             }
         }
         decision
     }
 
-    /// Removes and returns the held openings that are placed or refused now, in order. The caller
-    /// of the method passes each one with its verdict to [`Self::finish`].
+    /// Removes and returns the held openings of all services that are placed or refused now, in
+    /// order. The caller of the method passes each one with its verdict to [`Self::finish`].
     pub fn take_decided(
         &mut self,
         rooms: &Rooms,
         now: Instant,
+    ) -> Vec<(HeldOpening, OpeningDecision)> {
+        let held = self.queue.take_in_order(now);
+        self.decide_held(held, rooms, now)
+    }
+
+    /// Does what [`Self::take_decided`] does for the openings of one service.
+    pub fn take_decided_of(
+        &mut self,
+        service: &str,
+        rooms: &Rooms,
+        now: Instant,
+    ) -> Vec<(HeldOpening, OpeningDecision)> {
+        let held = self.queue.take_service_in_order(service, now);
+        self.decide_held(held, rooms, now)
+    }
+
+    /// Decides on openings that were taken out of the queue, and puts those back that wait on.
+    fn decide_held(
+        &mut self,
+        held: Vec<HeldOpening>,
+        rooms: &Rooms,
+        now: Instant,
     ) -> Vec<(HeldOpening, OpeningDecision)> {
         let mut decided = Vec::new();
         let mut ahead = HashMap::<ServiceId, usize>::default();
-        for held in self.queue.take_in_order(now) {
+        for held in held {
             let service = &held.opening.service;
             let before = ahead.get(service).copied().unwrap_or_default();
             let decision = if self.is_closed {
@@ -134,7 +169,7 @@
             };
             if decision == OpeningDecision::Hold {
                 *ahead.entry(service.clone()).or_default() += 1;
-                self.queue.put_back(held);
+                self.queue.push(held);
             } else {
                 decided.push((held, decision));
             }
@@ -149,7 +184,7 @@
 
     /// Puts an opening back that [`Self::take_held`] returned.
     pub fn put_back(&mut self, held: HeldOpening) {
-        self.queue.put_back(held);
+        self.queue.push(held);
     }
 
     /// Records the verdict on an opening that is no longer held.
