--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -340,8 +340,8 @@
         }
     }
 
-    /// Returns the time until an opening gets its turn, with `ahead` others before it, from the rate
-    /// or from the guaranteed share of its precedence.
+    /// Returns the time until an opening gets its turn, with `ahead` others before it, from the
+    /// rate or from the guaranteed share of its precedence.
     fn wait(&self, precedence: u8, ahead: usize, now: Instant) -> Duration {
         let ahead = ahead as f64;
         let deficit = (-self.overdraft(precedence, now) - self.balance).max(0.0);
