target_table: one round per service and data centre

Cause: all targets of a service shared one round. At a spilled flow the remote targets were all behind it, so that the position alone decided and each instance sent its flows to the same few. Change: each data centre has its own round, and candidates compare by the number of rounds after it. A target that moves joins the round there. Conclusion: decisions within one data centre are as before.

--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -34,8 +34,8 @@
     pub health: HealthRank,
     /// Running requests per thousand slots of the target.
     pub load_per_mille: u32,
-    /// Round in which the target is next; see [`crate::round_robin`]. The lower round breaks ties of
-    /// load.
+    /// Number of rounds of its data centre after which the target is next; see
+    /// [`crate::round_robin`]. The lower number breaks ties of load.
     pub round: u64,
     /// Position of the target within a round, different at each instance.
     pub position: u64,
--- a/lib/src/round_robin.rs
+++ b/lib/src/round_robin.rs
@@ -10,7 +10,8 @@
 use crate::ids::InstanceId;
 use crate::owner;
 
-/// Current round of one service at one instance.
+/// Current round of the targets of one service in one data centre, at one instance. Each data centre
+/// has its own, so that the few flows that go to others are spread over the targets there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RoundRobin {
     current: u64,
@@ -23,6 +24,12 @@
         round.max(self.current)
     }
 
+    /// Returns how many rounds after the current one a target is next. Targets of different rounds
+    /// compare by it.
+    pub fn rounds_ahead(&self, round: u64) -> u64 {
+        self.next_round(round) - self.current
+    }
+
     /// Records that a target gets a new flow, and returns the round after it.
     pub fn record(&mut self, round: u64) -> u64 {
         self.record_spaced(round, 1)
--- a/lib/src/target_choice.rs
+++ b/lib/src/target_choice.rs
@@ -8,7 +8,7 @@
 use crate::flow_tracker::FlowTracker;
 use crate::ids::{DataCentreId, InstanceId};
 use crate::placement::{choose_target, Candidate, HealthRank};
-use crate::round_robin::RoundRobin;
+use crate::route::Registration;
 use crate::route_table::RouteTable;
 use crate::target_table::TargetTable;
 use crate::view::View;
@@ -37,10 +37,9 @@
     /// Returns the index of the target that a new flow of `service` goes to, or `None` if no target
     /// may get it.
     pub fn choose(&self, service: &str, now: Instant) -> Option<usize> {
-        let rounds = self.targets.rounds(service);
         let indices = self.targets.indices_by_service(service).iter().copied();
         let allowed = indices.filter(|index| self.may_take_new_flow(service, *index, now));
-        choose_target(self.data_centre, allowed.map(|index| self.candidate(index, rounds, now)))
+        choose_target(self.data_centre, allowed.map(|index| self.candidate(index, now)))
     }
 
     /// Returns whether a new flow may go to a target. A cold target gets new flows only from the
@@ -62,7 +61,7 @@
                 .is_below(self.cold_start_limit.flows_per_window(capacity), now)
     }
 
-    fn candidate(&self, index: usize, rounds: RoundRobin, now: Instant) -> Candidate<'_> {
+    fn candidate(&self, index: usize, now: Instant) -> Candidate<'_> {
         let entry = self.targets.get(index);
         let health = if entry.health().is_down() {
             HealthRank::Down
@@ -74,8 +73,9 @@
         let slots = entry.registration.slots.max(1);
         let load_per_mille = self.flows.running_requests(index).saturating_mul(1_000) / slots;
         let load_per_mille = load_per_mille.saturating_mul(entry.weight().divisor());
-        let data_centre = &entry.registration.data_centre;
-        let (round, position) = (rounds.next_round(entry.round), entry.position);
+        let Registration { service, data_centre, .. } = &entry.registration;
+        let rounds = self.targets.rounds(service, data_centre);
+        let (round, position) = (rounds.rounds_ahead(entry.round), entry.position);
         Candidate { index, data_centre, health, load_per_mille, round, position }
     }
 }
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -151,7 +151,7 @@
     by_service: HashMap<ServiceId, Vec<usize>>,
     /// Target that started last at each address.
     by_address: HashMap<SocketAddr, usize>,
-    rounds: HashMap<ServiceId, RoundRobin>,
+    rounds: HashMap<ServiceId, HashMap<DataCentreId, RoundRobin>>,
     /// Targets whose health may change with time.
     unsettled: BTreeSet<usize>,
     /// Targets that have ended since the last call of [`TargetTable::take_ended`].
@@ -237,9 +237,10 @@
         self.by_service.iter().map(|(service, indices)| (service, indices.as_slice()))
     }
 
-    /// Returns the round-robin state of a service.
-    pub fn rounds(&self, service: &str) -> RoundRobin {
-        self.rounds.get(service).copied().unwrap_or_default()
+    /// Returns the round-robin state of a service's targets in a data centre.
+    pub fn rounds(&self, service: &str, data_centre: &str) -> RoundRobin {
+        let rounds = self.rounds.get(service).and_then(|rounds| rounds.get(data_centre));
+        rounds.copied().unwrap_or_default()
     }
 
     /// Records that a target gets a new flow.
@@ -249,7 +250,9 @@
     /// Panics if no target has the index.
     pub fn record_chosen(&mut self, index: usize) {
         let entry = &mut self.entries[index];
-        let rounds = self.rounds.entry(entry.registration.service.clone()).or_default();
+        let Registration { service, data_centre, .. } = &entry.registration;
+        let rounds = self.rounds.entry(service.clone()).or_default();
+        let rounds = rounds.entry(data_centre.clone()).or_default();
         entry.round = rounds.record_spaced(entry.round, entry.weight.divisor().into());
     }
 
@@ -259,7 +262,8 @@
     ///
     /// Panics if no target has the index.
     pub fn set_weight(&mut self, index: usize, weight: WeightClass) {
-        let rounds = self.rounds(&self.entries[index].registration.service);
+        let Registration { service, data_centre, .. } = &self.entries[index].registration;
+        let rounds = self.rounds(service, data_centre);
         let entry = &mut self.entries[index];
         if entry.weight != weight {
             let (old, new) = (entry.weight.divisor().into(), weight.divisor().into());
@@ -316,6 +320,11 @@
             entry.cookie = cookie;
             self.by_service.entry(registration.service.clone()).or_default().push(index);
         }
+        let former = &entry.registration;
+        if former.service != registration.service || former.data_centre != registration.data_centre
+        {
+            entry.round = 0;
+        }
         if change == RegistrationChange::Restarted {
             entry.health = TargetHealth::default();
             entry.has_ended = false;
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -37,7 +37,7 @@
             load_per_mille: 0,
             round: match self.is_baseline {
                 true => self.counts[index],
-                false => self.rounds.next_round(self.counts[index]),
+                false => self.rounds.rounds_ahead(self.counts[index]),
             },
             position: match self.is_baseline {
                 true => 0,
--- a/lib/tests/test_room_table.rs
+++ b/lib/tests/test_room_table.rs
@@ -36,6 +36,8 @@
     view: Arc<View>,
     /// Endpoints and cookies of the flows in the order of their openings.
     flows: Vec<(FlowEnds, Cookie)>,
+    /// Number of flows that each target got.
+    counts: [usize; LOCAL_TARGETS + REMOTE_TARGETS],
 }
 
 fn member(name: &str, data_centre: &str) -> Member {
@@ -96,7 +98,7 @@
             directory.confirm(part, 1, now);
             forwarder.update(&directory, part, now);
         }
-        Self { forwarder, view, flows: Vec::new() }
+        Self { forwarder, view, flows: Vec::new(), counts: [0; LOCAL_TARGETS + REMOTE_TARGETS] }
     }
 
     /// Reports from the other data centre that its callers send no requests.
@@ -136,6 +138,7 @@
                 panic!("flow not placed: {verdict:?}");
             };
             remote += usize::from(token >= LOCAL_TARGETS as u64);
+            self.counts[token as usize] += 1;
             self.flows.push((ends, cookie));
             self.continue_flow(1, 500, 100);
             self.continue_flow(4, 900, 0);
@@ -171,6 +174,17 @@
     assert!(room.own_share.is_some_and(|it| (it - 0.1).abs() < 0.01), "{room:?}");
 }
 
+/// Load: as above. The flows that spill over are spread evenly over the targets there.
+#[tokio::test(start_paused = true)]
+async fn refresh_rooms_spilled_openings_are_spread_over_targets() {
+    let mut fixture = Fixture::new(|_, _| ());
+    fixture.run(1_500, true).await;
+    let counts = &fixture.counts[LOCAL_TARGETS..];
+    let mean = counts.iter().sum::<usize>() as f64 / REMOTE_TARGETS as f64;
+    let most = counts.iter().copied().max().unwrap_or_default() as f64;
+    assert!(mean > 8.0 && most <= 1.3 * mean, "{counts:?}");
+}
+
 /// Load: as above, but no instance of the other data centre reports its demand. Today's rule holds.
 #[tokio::test(start_paused = true)]
 async fn refresh_rooms_without_reports_stays_at_home() {
--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -66,7 +66,8 @@
 }
 
 struct Instance {
-    rounds: RoundRobin,
+    /// Rounds of each data centre.
+    rounds: [RoundRobin; 3],
     /// Round and position of each target.
     turns: Vec<(u64, u64)>,
     /// Answers that the instance waits for: their times and targets.
@@ -113,7 +114,7 @@
     let id = format_smolstr!("entry-{number}");
     let turn = |target: usize| (0, position(&id, &format!("target-{target}")));
     let turns = (0..DATA_CENTRES.len() * TARGETS).map(turn).collect();
-    Instance { rounds: RoundRobin::default(), turns, running: Vec::new() }
+    Instance { rounds: [RoundRobin::default(); 3], turns, running: Vec::new() }
 }
 
 impl Instance {
@@ -129,11 +130,11 @@
             data_centre: &names[index / TARGETS],
             health: HealthRank::Healthy,
             load_per_mille: running[index] * 1_000 / SLOTS as u32,
-            round: self.rounds.next_round(self.turns[index].0),
+            round: self.rounds[index / TARGETS].rounds_ahead(self.turns[index].0),
             position: self.turns[index].1,
         });
         let index = choose_target(preferred, candidates).expect("there are targets");
-        self.turns[index].0 = self.rounds.record(self.turns[index].0);
+        self.turns[index].0 = self.rounds[index / TARGETS].record(self.turns[index].0);
         index
     }
 }
