spillover: no new destinations while a share falls

Cause: a falling share took the destinations of the present plan, so that two data centres that were over the limit and calmed down together sent flows to each other. Change: while the share falls, only former destinations that the plan still lists remain, in proportion to their room; without any the share is 0. Conclusion: the new case of test_spillover fails without the change.

--- a/lib/src/spillover.rs
+++ b/lib/src/spillover.rs
@@ -137,13 +137,33 @@
         let plan = plan.unwrap_or_default();
         let lowest = (self.share - FALL_PER_SECOND * elapsed).max(0.0);
         let ramped = plan.share.clamp(lowest, self.share + RISE_PER_SECOND * elapsed);
+        let (destinations, max_share) = if ramped > plan.share {
+            self.kept_destinations(&plan)
+        } else {
+            (plan.destinations, plan.max_share)
+        };
         // The bound holds also while the ramp falls: a data centre that needs its room now does not
         // get flows from one that needed it before.
-        self.share = ramped.min(plan.max_share);
-        self.destinations = plan.destinations;
+        self.share = ramped.min(max_share);
+        self.destinations = destinations;
         self.share_of_openings = share_of_openings(self.share, traffic);
     }
 
+    /// Returns the former destinations that a plan still lists, and the largest share in proportion
+    /// to their part of the free room. Flows go to no others while the share falls, so that two data
+    /// centres which return to normal together do not send to each other.
+    fn kept_destinations(&self, plan: &SpillPlan) -> (Vec<(DataCentreId, f64)>, f64) {
+        let is_kept = |name: &DataCentreId| self.destinations.iter().any(|(it, _)| it == name);
+        let kept = plan.destinations.iter().filter(|(name, _)| is_kept(name));
+        let kept: Vec<_> = kept.cloned().collect();
+        let room = |list: &[(DataCentreId, f64)]| list.iter().map(|(_, free)| free).sum::<f64>();
+        if kept.is_empty() {
+            return (kept, 0.0);
+        }
+        let max_share = plan.max_share * room(&kept) / room(&plan.destinations);
+        (kept, max_share)
+    }
+
     /// Returns the data centre that a new flow is sent to; `None` if it stays in its own. Flows of
     /// equal hash are decided alike, and a rising share only adds flows.
     pub fn destination(&self, hash: FlowHash) -> Option<&DataCentreId> {
--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -377,3 +377,24 @@
     assert!((share_after(2, [(40, calm), (40, calm), (40, calm)]) - 0.267).abs() < 0.01);
     assert_eq!(share_after(3, [(40, calm), (40, over), (0, calm)]), 0.0);
 }
+
+/// Load: two of three data centres are above the limit and calm down together. While their shares
+/// fall they go on to send to the third, and not to each other.
+#[test]
+fn update_two_senders_calm_down_together_without_mutual_shares() {
+    let (over, calm, now) = (Some(0.9 * CAPACITY), Some(0.3 * CAPACITY), Instant::now());
+    let mut spillovers = [(); 3].map(|()| Spillover::default());
+    let mut update = |second: u64, figures: [(u32, Option<f64>); 3]| {
+        for (name, spillover) in DATA_CENTRES.iter().zip(&mut spillovers) {
+            let plan = plan(&room(figures), name);
+            spillover.update(plan, Traffic::default(), now + Duration::from_secs(second));
+        }
+        let shares = [0, 1].map(|it| spillovers[it].share());
+        (shares.iter().all(|share| *share > 0.05), has_mutual_shares(&spillovers))
+    };
+    update(0, [(40, over), (40, over), (80, calm)]);
+    assert_eq!(update(1, [(40, over), (40, over), (80, calm)]), (true, false));
+    assert_eq!(update(2, [(40, calm), (40, calm), (80, calm)]), (true, false));
+    // The only former destination has no room any more.
+    assert_eq!(update(3, [(40, calm), (40, calm), (0, calm)]), (false, false));
+}
