spillover: a data centre without targets follows the room of others

Cause: without slots of its own a data centre had no plan, and its flows went to the others by round robin, whatever their room. A destination whose targets were gone since left the choice to all others in the same way. Change: the share is 1 while the own data centre has no slots; there is no plan only if there are no slots at all. A flow whose destination has no usable target is placed as one of the own data centre. Conclusion: the new case of test_room_table fails without the second choice.

--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -730,17 +730,20 @@
     }
 
     fn choose_target(&self, service: &str, segment: &Segment, now: Instant) -> Option<usize> {
-        let destination = self.spill_destination(service, segment);
-        let choice = TargetChoice {
+        let local = TargetChoice {
             instance: &self.setup.id,
-            data_centre: destination.unwrap_or(&self.setup.data_centre),
+            data_centre: &self.setup.data_centre,
             cold_start_limit: self.setup.cold_start_limit,
             targets: &self.targets,
             routes: &self.routes,
             flows: &self.watch,
             view: &self.view,
         };
-        choice.choose(service, now)
+        let destination = self.spill_destination(service, segment);
+        let spilled = destination.map(|data_centre| TargetChoice { data_centre, ..local.clone() });
+        // The targets of the destination may be gone since the share was computed.
+        let spilled = spilled.filter(|choice| choice.has_preferred(service, now));
+        spilled.unwrap_or(local).choose(service, now)
     }
 
     /// Returns the data centre to which a new flow spills over; `None` if it stays. A copy of an
--- a/lib/src/spillover.rs
+++ b/lib/src/spillover.rs
@@ -68,9 +68,9 @@
     })
 }
 
-/// Returns which share of the demand of `local` goes to other data centres. `None` if the figures of
-/// `local` are missing or it has no slots: then the load that this instance sees decides. Data
-/// centres whose figures are missing get no share.
+/// Returns which share of the demand of `local` goes to other data centres: all of it if `local` has
+/// no slots. `None` if the figures of `local` are missing or there are no slots at all: then the load
+/// that this instance sees decides. Data centres whose figures are missing get no share.
 pub fn plan(room: &ServiceRoom, local: &str) -> Option<SpillPlan> {
     let work = room.work?.as_secs_f64();
     let known = room.data_centres.iter().filter_map(|it| {
@@ -79,7 +79,7 @@
     });
     let loads: Vec<_> = known.collect();
     let own = loads.iter().find(|it| it.data_centre == local)?;
-    if own.slots == 0.0 {
+    if loads.iter().all(|it| it.slots == 0.0) {
         return None;
     }
     let limit = utilisation_limit(&loads);
@@ -87,8 +87,11 @@
     let others = || loads.iter().filter(|it| it.data_centre != local);
     let destinations = others().filter(|it| free(it) > 0.0);
     let destinations: Vec<_> = destinations.map(|it| (it.data_centre.clone(), free(it))).collect();
-    let share_of =
-        |slots: f64| if own.busy > 0.0 { (slots / own.busy).clamp(0.0, 1.0) } else { 0.0 };
+    let share_of = |slots: f64| match own.busy > 0.0 {
+        _ if own.slots == 0.0 => 1.0,
+        true => (slots / own.busy).clamp(0.0, 1.0),
+        false => 0.0,
+    };
     let share = share_of(-free(own));
     let is_sent = share >= MIN_SHARE && !destinations.is_empty();
     Some(SpillPlan {
--- a/lib/src/target_choice.rs
+++ b/lib/src/target_choice.rs
@@ -14,7 +14,7 @@
 use crate::view::View;
 
 /// State of an instance that the choice of a target depends on.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct TargetChoice<'a> {
     /// Name of the instance, by which it is ranked among the senders to a cold target.
     pub instance: &'a InstanceId,
@@ -42,6 +42,17 @@
         choose_target(self.data_centre, allowed.map(|index| self.candidate(index, now)))
     }
 
+    /// Returns whether a target of the preferred data centre may get a new flow of `service`.
+    pub fn has_preferred(&self, service: &str, now: Instant) -> bool {
+        let indices = self.targets.indices_by_service(service);
+        indices.iter().any(|index| {
+            let entry = self.targets.get(*index);
+            entry.registration.data_centre == *self.data_centre
+                && !entry.health().is_down()
+                && self.may_take_new_flow(service, *index, now)
+        })
+    }
+
     /// Returns whether a new flow may go to a target. A cold target gets new flows only from the
     /// instance that ranks first for it, within that instance's share of the limit.
     fn may_take_new_flow(&self, service: &str, index: usize, now: Instant) -> bool {
--- a/lib/tests/test_room_table.rs
+++ b/lib/tests/test_room_table.rs
@@ -210,6 +210,26 @@
     assert!(!(3_000..3_100).any(|port| fixture.open(port, 1)), "copies of unseen openings");
 }
 
+/// Load: as above, then all targets of the other data centre are found down, and a third one has no
+/// room. Openings stay at home before the room is computed again.
+#[tokio::test(start_paused = true)]
+async fn on_segment_destination_without_usable_target_chooses_own() {
+    const THIRD: usize = LOCAL_TARGETS + 20;
+    let mut fixture = Fixture::new(|number, it| {
+        if number >= THIRD {
+            (it.data_centre, it.slots) = ("horn-east-c".into(), 0);
+        }
+    });
+    fixture.run(600, true).await;
+    assert!((2_000..2_040).any(|port| fixture.open(port, 0)));
+    let reporter = member("other-0", REMOTE);
+    for number in LOCAL_TARGETS..THIRD {
+        let (target, now) = (format!("target-{number}"), Instant::now());
+        fixture.forwarder.on_condition(&reporter, &target, TargetCondition::Down, now);
+    }
+    assert!(!(3_000..3_100).any(|port| fixture.open(port, 0)));
+}
+
 /// Load: as above, but no instance of the other data centre reports its demand. Today's rule holds.
 #[tokio::test(start_paused = true)]
 async fn refresh_rooms_without_reports_stays_at_home() {
