demand_exchange: no estimate of the own data centre after a pause

Cause: an instance that started or woke up passed on about 0 for its own data centre at age 0, and the lower median capped samples of 20 and 0 to 2. Change: the own data centre is left out of reports until the instance has ticked for two time constants without a pause and, if it has peers there, one of them has reported since. The median is the upper one, and samples are capped only from three.

--- a/lib/src/demand_exchange.rs
+++ b/lib/src/demand_exchange.rs
@@ -17,6 +17,7 @@
 use crate::collections::HashMap;
 use crate::ids::{DataCentreId, InstanceId, ServiceId};
 use crate::room::Demand;
+use crate::service_demand::RATE_TIME_CONSTANT;
 use crate::view::{Member, View};
 
 /// Time between two reports of an instance while a data centre may soon spill over.
@@ -34,6 +35,12 @@
 pub const MAX_REPORTED_DATA_CENTRES: usize = 8;
 /// Number of the latest samples that an estimate is made of.
 const MAX_SAMPLES: usize = 5;
+/// Least number of samples of which any is capped, since two do not show which one is wrong.
+const MIN_CAPPED_SAMPLES: usize = 3;
+/// Time without a pause after which the own rates are complete.
+pub const SETTLING_TIME: Duration = RATE_TIME_CONSTANT.saturating_mul(2);
+/// Time between two ticks from which an instance was suspended, and has missed requests.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Factor on the median at which a sample is capped before the mean is taken.
 const OUTLIER_FACTOR: f64 = 2.0;
 /// Rate up to which a sample is never capped, since few requests vary much.
@@ -159,6 +166,10 @@
     own: InstanceRates,
     samples: HashMap<DataCentreId, Vec<Sample>>,
     estimates: Vec<DataCentreDemand>,
+    /// First and latest tick since the last pause.
+    ticks: Option<(Instant, Instant)>,
+    /// Time of the latest report of another instance of the own data centre.
+    peer_reported_at: Option<Instant>,
 }
 
 impl DemandExchange {
@@ -170,6 +181,8 @@
             own: InstanceRates::default(),
             samples: HashMap::default(),
             estimates: Vec::new(),
+            ticks: None,
+            peer_reported_at: None,
         }
     }
 
@@ -191,6 +204,7 @@
         if is_own_data_centre && (!report.own.is_empty() || services.is_empty()) {
             let rates = rates(&mut report.own.iter().copied().map(Some));
             self.insert(&self.data_centre.clone(), &from.id, now, rates, now);
+            self.peer_reported_at = Some(now);
         }
         for reported in report.data_centres.iter().take(MAX_REPORTED_DATA_CENTRES) {
             let is_known = view.members().iter().any(|it| it.data_centre == reported.data_centre);
@@ -217,8 +231,15 @@
         samples.push(Sample { sender: sender.clone(), observed_at, rates });
     }
 
+    /// Records that the instance runs, which it does several times per second.
+    pub fn tick(&mut self, now: Instant) {
+        let unbroken = self.ticks.filter(|(_, latest)| now < *latest + MIN_PAUSE);
+        self.ticks = Some((unbroken.map_or(now, |(first, _)| first), now));
+    }
+
     /// Updates this instance's own rates, and the estimate of each data centre in `view`.
     pub fn refresh(&mut self, own: InstanceRates, view: &View, now: Instant) {
+        self.tick(now);
         self.own = own;
         let mut members: BTreeMap<&DataCentreId, usize> = BTreeMap::new();
         for member in view.members().iter().filter(|member| member.is_eligible()) {
@@ -258,7 +279,9 @@
     pub fn report_for(&self, receiver: &DataCentreId, now: Instant) -> DemandReport {
         let is_own_data_centre = *receiver == self.data_centre;
         let known = self.estimates.iter().filter(|it| {
-            it.observed_at.is_some_and(|at| is_fresh(at, now)) && it.data_centre != *receiver
+            it.observed_at.is_some_and(|at| is_fresh(at, now))
+                && it.data_centre != *receiver
+                && (it.data_centre != self.data_centre || self.is_settled(it, now))
         });
         let known: Vec<_> = known.take(MAX_REPORTED_DATA_CENTRES).collect();
         let sources = known.iter().map(|it| &it.per_instance).chain([&self.own]);
@@ -273,6 +296,17 @@
         let data_centres = data_centres.collect();
         DemandReport { services, is_complete, own, data_centres }
     }
+
+    /// Returns whether the estimate of the own data centre may be passed on: since the last pause the
+    /// own rates have become complete, and another instance there, if any, has reported. Before, both
+    /// may be too low.
+    fn is_settled(&self, own: &DataCentreDemand, now: Instant) -> bool {
+        let Some((first, latest)) = self.ticks else { return false };
+        let has_sample = self.peer_reported_at.is_some_and(|at| at >= first);
+        now >= first + SETTLING_TIME
+            && now < latest + MIN_PAUSE
+            && (has_sample || own.instances <= 1)
+    }
 }
 
 /// Kind of receiver of a report.
@@ -331,10 +365,10 @@
     (names.into_iter().collect(), is_complete)
 }
 
-/// Returns the median of values, the lower one of two.
+/// Returns the median of values, the upper one of two.
 fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
-    values.get(values.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+    values.get(values.len() / 2).copied().unwrap_or_default()
 }
 
 /// Returns the average of samples: the mean of capped samples for rates of single instances, the
@@ -357,6 +391,9 @@
 
 fn capped_mean(values: Vec<f64>) -> f64 {
     let count = values.len().max(1) as f64;
+    if values.len() < MIN_CAPPED_SAMPLES {
+        return values.into_iter().sum::<f64>() / count;
+    }
     let cap = (median(values.clone()) * OUTLIER_FACTOR).max(OUTLIER_SLACK_PER_SECOND);
     values.into_iter().map(|value| value.min(cap)).sum::<f64>() / count
 }
--- a/lib/src/room_table.rs
+++ b/lib/src/room_table.rs
@@ -59,6 +59,7 @@
         view: &View,
         now: Instant,
     ) -> Option<HashMap<ServiceId, ServiceRoom>> {
+        self.exchange.tick(now);
         if self.next_pass_at.is_some_and(|at| now < at) {
             return None;
         }
