spillover: only data centres with slots count as near the limit

Cause: callers in a data centre where a service has no slots made the whole fleet report at the busy rate for good. Change: is_near_limit requires slots. Names of tests and reasons of constants say what callers need.

--- a/lib/src/spillover.rs
+++ b/lib/src/spillover.rs
@@ -17,9 +17,9 @@
 use crate::room::ServiceRoom;
 use crate::service_demand::Traffic;
 
-/// Utilisation of the slots of a data centre above which new flows go to others. Instances place
-/// flows without sight of each other; with two slots per target a request then waits for half of
-/// its work on average, and a queue of eight is full for 3 in 1,000. Both grow steeply beyond.
+/// Utilisation of the slots of a data centre above which new flows go to others. Callers need an
+/// answer within a few times the work of a request. Instances place flows without sight of each
+/// other, so that the waiting time grows steeply beyond.
 pub const MAX_UTILISATION: f64 = 0.6;
 /// Utilisation of a data centre from which its demand may soon exceed [`MAX_UTILISATION`].
 const NEAR_UTILISATION: f64 = 0.35;
@@ -59,12 +59,13 @@
     busy: f64,
 }
 
-/// Returns whether the demand of a data centre is near the limit above which it spills over.
+/// Returns whether the demand of a data centre is near the limit above which it spills over. One
+/// without slots does not count: its demand always goes to others, whose limits decide.
 pub fn is_near_limit(room: &ServiceRoom) -> bool {
     let Some(work) = room.work else { return false };
     room.data_centres.iter().any(|it| {
         let busy = it.demand.unwrap_or_default().requests_per_second * work.as_secs_f64();
-        busy > f64::from(it.slots) * NEAR_UTILISATION
+        it.slots > 0 && busy > f64::from(it.slots) * NEAR_UTILISATION
     })
 }
 
--- a/lib/tests/test_room_table.rs
+++ b/lib/tests/test_room_table.rs
@@ -233,7 +233,7 @@
     assert!(!(3_000..3_100).any(|port| fixture.open(port, 0)));
 }
 
-/// Load: as above, but no instance of the other data centre reports its demand. Today's rule holds.
+/// Load: as above, but no instance of the other data centre reports its demand. The rule without figures holds.
 #[tokio::test(start_paused = true)]
 async fn refresh_rooms_without_reports_stays_at_home() {
     let mut fixture = Fixture::new(|_, _| ());
--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -1,5 +1,5 @@
 //! Spillover between three data centres. Cases with a load replay it request by request, with the
-//! choice of the targets as instances make it, and with today's rule alone as the baseline: an
+//! choice of the targets as instances make it, and with the rule without figures as the baseline: an
 //! instance spills over by the running requests that it sees itself.
 
 use std::collections::VecDeque;
@@ -13,7 +13,7 @@
 use hollyhead::room_table::MIN_PASS_INTERVAL;
 use hollyhead::round_robin::{position, RoundRobin};
 use hollyhead::service_demand::Traffic;
-use hollyhead::spillover::{plan, SpillPlan, Spillover};
+use hollyhead::spillover::{is_near_limit, plan, SpillPlan, Spillover};
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
@@ -80,7 +80,7 @@
     /// Number of targets of a data centre that are there.
     targets: &'a dyn Fn(usize, f64) -> usize,
     seconds: f64,
-    /// Whether figures pass between the instances. Without them today's rule decides.
+    /// Whether figures pass between the instances. Without them the rule without figures decides.
     has_figures: bool,
     /// Time from which the outcome counts.
     counts_from: f64,
@@ -192,7 +192,7 @@
     [(0, 1), (0, 2), (1, 2)].into_iter().any(|(a, b)| sends(a, b) && sends(b, a))
 }
 
-/// Plays a load with today's rule and with the spillover by figures.
+/// Plays a load with the rule without figures and with the spillover by figures.
 fn compare(load: &Load<'_>) -> (Outcome, Outcome) {
     let both = (play(&Load { has_figures: false, ..*load }), play(load));
     println!("former rule: {:?}\nspillover: {:?}", both.0, both.1);
@@ -335,10 +335,20 @@
     assert_eq!(plan(&room([(0, Some(0.9 * CAPACITY)); 3]), "a"), None);
 }
 
+/// Load: callers in a data centre where the service has no slots, below and near the limit of others.
+#[test]
+fn is_near_limit_needs_slots() {
+    let near = |busy: f64| {
+        let others = (40, Some(busy * CAPACITY));
+        is_near_limit(&room([(0, Some(0.1 * CAPACITY)), others, others]))
+    };
+    assert!(!near(0.3) && near(0.4));
+}
+
 /// Load: as above, but figures are missing. Without those of the own data centre or the work there is
 /// no plan; without those of another one it gets nothing.
 #[test]
-fn plan_missing_figures_leaves_todays_rule() {
+fn plan_missing_figures_leaves_the_rule_without_figures() {
     let over = Some(0.9 * CAPACITY);
     assert_eq!(plan(&room([(40, None), (40, Some(0.0)), (40, Some(0.0))]), "a"), None);
     assert_eq!(plan(&room([(0, None), (40, Some(0.0)), (40, Some(0.0))]), "a"), None);
