--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -122,7 +122,8 @@
     pub demand_requests: Family<RoomLabel, FractionGauge>,
     /// Slots of the targets of a data centre that take new flows and are neither cold nor down.
     pub room_slots: Family<RoomLabel, Gauge>,
-    /// Share of this instance's requests that spill over to a data centre, from 0 to 1.
+    /// Share of this instance's requests that is wanted at the targets of another data centre, from
+    /// 0 to 1.
     pub spill_share: Family<RoomLabel, FractionGauge>,
 }
 
--- a/lib/src/room_table.rs
+++ b/lib/src/room_table.rs
@@ -24,7 +24,8 @@
 
 /// Least time between two passes over the targets.
 pub const MIN_PASS_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two passes for each known target, where that is longer: 1.84 s at 46,000 targets.
+/// Time between two passes for each known target, where that is longer. It bounds the share of the
+/// processor that passes take from the packets of callers.
 pub const PASS_INTERVAL_PER_TARGET: Duration = Duration::from_micros(40);
 
 /// Demand at this instance, the reports of others, and the time of the next pass.
