--- a/lib/src/spillover.rs
+++ b/lib/src/spillover.rs
@@ -17,9 +17,9 @@
 use crate::room::ServiceRoom;
 use crate::service_demand::Traffic;
 
-/// Utilisation of the slots of a data centre above which new flows go to others. Instances place
-/// flows without sight of each other; with two slots per target a request then waits for half of
-/// its work on average, and a queue of eight is full for 3 in 1,000. Both grow steeply beyond.
+/// Utilisation of the slots of a data centre above which new flows go to others. Callers need an
+/// answer within a few times the work of a request. Instances place flows without sight of each
+/// other, so that the waiting time grows steeply beyond.
 pub const MAX_UTILISATION: f64 = 0.6;
 /// Utilisation of a data centre from which its demand may soon exceed [`MAX_UTILISATION`].
 const NEAR_UTILISATION: f64 = 0.35;
@@ -59,18 +59,19 @@
     busy: f64,
 }
 
-/// Returns whether the demand of a data centre is near the limit above which it spills over.
+/// Returns whether the demand of a data centre is near the limit above which it spills over. One
+/// without slots does not count: its demand always goes to others, whose limits decide.
 pub fn is_near_limit(room: &ServiceRoom) -> bool {
     let Some(work) = room.work else { return false };
     room.data_centres.iter().any(|it| {
         let busy = it.demand.unwrap_or_default().requests_per_second * work.as_secs_f64();
-        busy > f64::from(it.slots) * NEAR_UTILISATION
+        it.slots > 0 && busy > f64::from(it.slots) * NEAR_UTILISATION
     })
 }
 
-/// Returns which share of the demand of `local` goes to other data centres. `None` if the figures of
-/// `local` are missing or it has no slots: then the load that this instance sees decides. Data
-/// centres whose figures are missing get no share.
+/// Returns which share of the demand of `local` goes to other data centres: all of it if `local` has
+/// no slots. `None` if the figures of `local` are missing or there are no slots at all: then the load
+/// that this instance sees decides. Data centres whose figures are missing get no share.
 pub fn plan(room: &ServiceRoom, local: &str) -> Option<SpillPlan> {
     let work = room.work?.as_secs_f64();
     let known = room.data_centres.iter().filter_map(|it| {
@@ -79,7 +80,7 @@
     });
     let loads: Vec<_> = known.collect();
     let own = loads.iter().find(|it| it.data_centre == local)?;
-    if own.slots == 0.0 {
+    if loads.iter().all(|it| it.slots == 0.0) {
         return None;
     }
     let limit = utilisation_limit(&loads);
@@ -87,8 +88,11 @@
     let others = || loads.iter().filter(|it| it.data_centre != local);
     let destinations = others().filter(|it| free(it) > 0.0);
     let destinations: Vec<_> = destinations.map(|it| (it.data_centre.clone(), free(it))).collect();
-    let share_of =
-        |slots: f64| if own.busy > 0.0 { (slots / own.busy).clamp(0.0, 1.0) } else { 0.0 };
+    let share_of = |slots: f64| match own.busy > 0.0 {
+        _ if own.slots == 0.0 => 1.0,
+        true => (slots / own.busy).clamp(0.0, 1.0),
+        false => 0.0,
+    };
     let share = share_of(-free(own));
     let is_sent = share >= MIN_SHARE && !destinations.is_empty();
     Some(SpillPlan {
@@ -137,13 +141,33 @@
         let plan = plan.unwrap_or_default();
         let lowest = (self.share - FALL_PER_SECOND * elapsed).max(0.0);
         let ramped = plan.share.clamp(lowest, self.share + RISE_PER_SECOND * elapsed);
+        let (destinations, max_share) = if ramped > plan.share {
+            self.kept_destinations(&plan)
+        } else {
+            (plan.destinations, plan.max_share)
+        };
         // The bound holds also while the ramp falls: a data centre that needs its room now does not
         // get flows from one that needed it before.
-        self.share = ramped.min(plan.max_share);
-        self.destinations = plan.destinations;
+        self.share = ramped.min(max_share);
+        self.destinations = destinations;
         self.share_of_openings = share_of_openings(self.share, traffic);
     }
 
+    /// Returns the former destinations that a plan still lists, and the largest share in proportion
+    /// to their part of the free room. Flows go to no others while the share falls, so that two data
+    /// centres which return to normal together do not send to each other.
+    fn kept_destinations(&self, plan: &SpillPlan) -> (Vec<(DataCentreId, f64)>, f64) {
+        let is_kept = |name: &DataCentreId| self.destinations.iter().any(|(it, _)| it == name);
+        let kept = plan.destinations.iter().filter(|(name, _)| is_kept(name));
+        let kept: Vec<_> = kept.cloned().collect();
+        let room = |list: &[(DataCentreId, f64)]| list.iter().map(|(_, free)| free).sum::<f64>();
+        if kept.is_empty() {
+            return (kept, 0.0);
+        }
+        let max_share = plan.max_share * room(&kept) / room(&plan.destinations);
+        (kept, max_share)
+    }
+
     /// Returns the data centre that a new flow is sent to; `None` if it stays in its own. Flows of
     /// equal hash are decided alike, and a rising share only adds flows.
     pub fn destination(&self, hash: FlowHash) -> Option<&DataCentreId> {
--- a/lib/tests/test_room_table.rs
+++ b/lib/tests/test_room_table.rs
@@ -34,8 +34,12 @@
 struct Fixture {
     forwarder: CookieForwarder,
     view: Arc<View>,
+    /// Instance of the other data centre.
+    other: DemandExchange,
     /// Endpoints and cookies of the flows in the order of their openings.
     flows: Vec<(FlowEnds, Cookie)>,
+    /// Number of flows that each target got.
+    counts: [usize; LOCAL_TARGETS + REMOTE_TARGETS],
 }
 
 fn member(name: &str, data_centre: &str) -> Member {
@@ -96,15 +100,16 @@
             directory.confirm(part, 1, now);
             forwarder.update(&directory, part, now);
         }
-        Self { forwarder, view, flows: Vec::new() }
+        let other = DemandExchange::new("other-0".into(), REMOTE.into());
+        let counts = [0; LOCAL_TARGETS + REMOTE_TARGETS];
+        Self { forwarder, view, other, flows: Vec::new(), counts }
     }
 
     /// Reports from the other data centre that its callers send no requests.
     fn report_remote(&mut self) {
         let now = Instant::now();
-        let mut exchange = DemandExchange::new("other-0".into(), REMOTE.into());
-        exchange.refresh(InstanceRates::complete([]), &self.view, now);
-        let report = exchange.report_for(&LOCAL.into(), now);
+        self.other.refresh(InstanceRates::complete([]), &self.view, now);
+        let report = self.other.report_for(&LOCAL.into(), now);
         self.forwarder.on_demand_report(&member("other-0", REMOTE), &report, now);
     }
 
@@ -119,7 +124,7 @@
         let mut remote = 0;
         for _ in 0..flows {
             tokio::time::advance(FLOW_INTERVAL).await;
-            if has_reports && self.flows.len() % 30 == 0 {
+            if has_reports && self.flows.len() % 15 == 0 {
                 self.report_remote();
             }
             self.forwarder.refresh_rooms(Instant::now());
@@ -136,6 +141,7 @@
                 panic!("flow not placed: {verdict:?}");
             };
             remote += usize::from(token >= LOCAL_TARGETS as u64);
+            self.counts[token as usize] += 1;
             self.flows.push((ends, cookie));
             self.continue_flow(1, 500, 100);
             self.continue_flow(4, 900, 0);
@@ -151,6 +157,19 @@
         self.packet(Segment { ends, control, seq: 101, ack, data_len, cookie });
     }
 
+    /// Sends an opening packet; `copy` counts those before it. Returns whether it went to the other
+    /// data centre.
+    fn open(&mut self, port: u16, copy: u32) -> bool {
+        let caller = SocketAddrV4::new([100, 64, 0, 8].into(), port);
+        let ends = FlowEnds { caller, service: ADDRESS };
+        let control = Control { opens: true, ..Control::default() };
+        let segment = Segment { ends, control, seq: 100, ack: copy, data_len: 0, cookie: 0 };
+        match self.packet(segment) {
+            CookieVerdict::Forward { token, .. } => token >= LOCAL_TARGETS as u64,
+            verdict => panic!("flow not placed: {verdict:?}"),
+        }
+    }
+
     fn slots(&self) -> Vec<u32> {
         let room = self.forwarder.room(SERVICE).cloned().unwrap_or_default();
         room.data_centres.iter().map(|it| it.slots).collect()
@@ -171,7 +190,50 @@
     assert!(room.own_share.is_some_and(|it| (it - 0.1).abs() < 0.01), "{room:?}");
 }
 
-/// Load: as above, but no instance of the other data centre reports its demand. Today's rule holds.
+/// Load: as above. The flows that spill over are spread evenly over the targets there.
+#[tokio::test(start_paused = true)]
+async fn refresh_rooms_spilled_openings_are_spread_over_targets() {
+    let mut fixture = Fixture::new(|_, _| ());
+    fixture.run(1_500, true).await;
+    let counts = &fixture.counts[LOCAL_TARGETS..];
+    let mean = counts.iter().sum::<usize>() as f64 / REMOTE_TARGETS as f64;
+    let most = counts.iter().copied().max().unwrap_or_default() as f64;
+    assert!(mean > 8.0 && most <= 1.3 * mean, "{counts:?}");
+}
+
+/// Load: as above, and the other data centre is cut off. Copies of the openings that went there stay,
+/// at the instance that sent the first one and at another.
+#[tokio::test(start_paused = true)]
+async fn on_segment_copies_of_spilled_openings_stay_at_home() {
+    let mut fixture = Fixture::new(|_, _| ());
+    fixture.run(600, true).await;
+    let spilled: Vec<_> = (2_000..2_040).filter(|port| fixture.open(*port, 0)).collect();
+    assert!(spilled.len() > 4, "{spilled:?}");
+    assert!(!spilled.iter().any(|port| fixture.open(*port, 0)), "half open");
+    assert!(!(3_000..3_100).any(|port| fixture.open(port, 1)), "copies of unseen openings");
+}
+
+/// Load: as above, then all targets of the other data centre are found down, and a third one has no
+/// room. Openings stay at home before the room is computed again.
+#[tokio::test(start_paused = true)]
+async fn on_segment_destination_without_usable_target_chooses_own() {
+    const THIRD: usize = LOCAL_TARGETS + 20;
+    let mut fixture = Fixture::new(|number, it| {
+        if number >= THIRD {
+            (it.data_centre, it.slots) = ("horn-east-c".into(), 0);
+        }
+    });
+    fixture.run(600, true).await;
+    assert!((2_000..2_040).any(|port| fixture.open(port, 0)));
+    let reporter = member("other-0", REMOTE);
+    for number in LOCAL_TARGETS..THIRD {
+        let (target, now) = (format!("target-{number}"), Instant::now());
+        fixture.forwarder.on_condition(&reporter, &target, TargetCondition::Down, now);
+    }
+    assert!(!(3_000..3_100).any(|port| fixture.open(port, 0)));
+}
+
+/// Load: as above, but no instance of the other data centre reports its demand. The rule without figures holds.
 #[tokio::test(start_paused = true)]
 async fn refresh_rooms_without_reports_stays_at_home() {
     let mut fixture = Fixture::new(|_, _| ());
--- a/lib/tests/test_spillover.rs
+++ b/lib/tests/test_spillover.rs
@@ -1,5 +1,5 @@
 //! Spillover between three data centres. Cases with a load replay it request by request, with the
-//! choice of the targets as instances make it, and with today's rule alone as the baseline: an
+//! choice of the targets as instances make it, and with the rule without figures as the baseline: an
 //! instance spills over by the running requests that it sees itself.
 
 use std::collections::VecDeque;
@@ -13,7 +13,7 @@
 use hollyhead::room_table::MIN_PASS_INTERVAL;
 use hollyhead::round_robin::{position, RoundRobin};
 use hollyhead::service_demand::Traffic;
-use hollyhead::spillover::{plan, SpillPlan, Spillover};
+use hollyhead::spillover::{is_near_limit, plan, SpillPlan, Spillover};
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
@@ -66,7 +66,8 @@
 }
 
 struct Instance {
-    rounds: RoundRobin,
+    /// Rounds of each data centre.
+    rounds: [RoundRobin; 3],
     /// Round and position of each target.
     turns: Vec<(u64, u64)>,
     /// Answers that the instance waits for: their times and targets.
@@ -79,7 +80,7 @@
     /// Number of targets of a data centre that are there.
     targets: &'a dyn Fn(usize, f64) -> usize,
     seconds: f64,
-    /// Whether figures pass between the instances. Without them today's rule decides.
+    /// Whether figures pass between the instances. Without them the rule without figures decides.
     has_figures: bool,
     /// Time from which the outcome counts.
     counts_from: f64,
@@ -113,7 +114,7 @@
     let id = format_smolstr!("entry-{number}");
     let turn = |target: usize| (0, position(&id, &format!("target-{target}")));
     let turns = (0..DATA_CENTRES.len() * TARGETS).map(turn).collect();
-    Instance { rounds: RoundRobin::default(), turns, running: Vec::new() }
+    Instance { rounds: [RoundRobin::default(); 3], turns, running: Vec::new() }
 }
 
 impl Instance {
@@ -129,11 +130,11 @@
             data_centre: &names[index / TARGETS],
             health: HealthRank::Healthy,
             load_per_mille: running[index] * 1_000 / SLOTS as u32,
-            round: self.rounds.next_round(self.turns[index].0),
+            round: self.rounds[index / TARGETS].rounds_ahead(self.turns[index].0),
             position: self.turns[index].1,
         });
         let index = choose_target(preferred, candidates).expect("there are targets");
-        self.turns[index].0 = self.rounds.record(self.turns[index].0);
+        self.turns[index].0 = self.rounds[index / TARGETS].record(self.turns[index].0);
         index
     }
 }
@@ -191,7 +192,7 @@
     [(0, 1), (0, 2), (1, 2)].into_iter().any(|(a, b)| sends(a, b) && sends(b, a))
 }
 
-/// Plays a load with today's rule and with the spillover by figures.
+/// Plays a load with the rule without figures and with the spillover by figures.
 fn compare(load: &Load<'_>) -> (Outcome, Outcome) {
     let both = (play(&Load { has_figures: false, ..*load }), play(load));
     println!("former rule: {:?}\nspillover: {:?}", both.0, both.1);
@@ -317,13 +318,40 @@
     assert!((b + c - 10.0 / 34.0).abs() < 0.01 && (b / c - 3.0).abs() < 0.3, "{counts:?}");
 }
 
-/// Load: as above, but figures are missing. Without those of the own data centre, its slots or the
-/// work there is no plan; without those of another one it gets nothing.
+/// Load: a data centre without slots. All of its demand goes to the others in proportion to their
+/// free room, also while none of it is observed; without slots anywhere there is no plan.
 #[test]
-fn plan_missing_figures_leaves_todays_rule() {
+fn plan_no_own_slots_sends_all_by_free_room() {
+    for demand in [0.9, 0.0] {
+        let figures = [(0, demand), (40, 0.5), (40, 0.2)];
+        let room = room(figures.map(|(slots, of)| (slots, Some(of * CAPACITY))));
+        let plan = plan(&room, "a").unwrap_or_default();
+        assert_eq!((plan.share, plan.max_share), (1.0, 1.0));
+        let free = |it: usize| plan.destinations[it].1;
+        // The limit is the mean of 0.8 and a margin of 0.1, or 0.6.
+        let ratio = if demand > 0.0 { 0.7 / 0.4 } else { 0.4 / 0.1 };
+        assert!((free(1) / free(0) - ratio).abs() < 1e-6, "{plan:?}");
+    }
+    assert_eq!(plan(&room([(0, Some(0.9 * CAPACITY)); 3]), "a"), None);
+}
+
+/// Load: callers in a data centre where the service has no slots, below and near the limit of others.
+#[test]
+fn is_near_limit_needs_slots() {
+    let near = |busy: f64| {
+        let others = (40, Some(busy * CAPACITY));
+        is_near_limit(&room([(0, Some(0.1 * CAPACITY)), others, others]))
+    };
+    assert!(!near(0.3) && near(0.4));
+}
+
+/// Load: as above, but figures are missing. Without those of the own data centre or the work there is
+/// no plan; without those of another one it gets nothing.
+#[test]
+fn plan_missing_figures_leaves_the_rule_without_figures() {
     let over = Some(0.9 * CAPACITY);
     assert_eq!(plan(&room([(40, None), (40, Some(0.0)), (40, Some(0.0))]), "a"), None);
-    assert_eq!(plan(&room([(0, over), (40, Some(0.0)), (40, Some(0.0))]), "a"), None);
+    assert_eq!(plan(&room([(0, None), (40, Some(0.0)), (40, Some(0.0))]), "a"), None);
     let unknown_work = ServiceRoom { work: None, ..room([(40, over), (40, over), (40, over)]) };
     assert_eq!(plan(&unknown_work, "a"), None);
     let one_missing = plan(&room([(40, over), (40, None), (40, Some(0.0))]), "a");
@@ -376,3 +404,24 @@
     assert!((share_after(2, [(40, calm), (40, calm), (40, calm)]) - 0.267).abs() < 0.01);
     assert_eq!(share_after(3, [(40, calm), (40, over), (0, calm)]), 0.0);
 }
+
+/// Load: two of three data centres are above the limit and calm down together. While their shares
+/// fall they go on to send to the third, and not to each other.
+#[test]
+fn update_two_senders_calm_down_together_without_mutual_shares() {
+    let (over, calm, now) = (Some(0.9 * CAPACITY), Some(0.3 * CAPACITY), Instant::now());
+    let mut spillovers = [(); 3].map(|()| Spillover::default());
+    let mut update = |second: u64, figures: [(u32, Option<f64>); 3]| {
+        for (name, spillover) in DATA_CENTRES.iter().zip(&mut spillovers) {
+            let plan = plan(&room(figures), name);
+            spillover.update(plan, Traffic::default(), now + Duration::from_secs(second));
+        }
+        let shares = [0, 1].map(|it| spillovers[it].share());
+        (shares.iter().all(|share| *share > 0.05), has_mutual_shares(&spillovers))
+    };
+    update(0, [(40, over), (40, over), (80, calm)]);
+    assert_eq!(update(1, [(40, over), (40, over), (80, calm)]), (true, false));
+    assert_eq!(update(2, [(40, calm), (40, calm), (80, calm)]), (true, false));
+    // The only former destination has no room any more.
+    assert_eq!(update(3, [(40, calm), (40, calm), (0, calm)]), (false, false));
+}
