slow_targets: a restarted target is not lowered again by the next renewal

Cause: forget left the target among the changes that the next renewal announces. Change: forget removes it there too; the test runs over renewals, and fails without the change. Conclusion: a restart clears the weight at all instances for good.

--- a/lib/src/slow_targets.rs
+++ b/lib/src/slow_targets.rs
@@ -162,6 +162,7 @@
     /// Forgets what is known of a target that started again.
     pub fn forget(&mut self, target: usize) {
         self.in_force.remove(&target);
+        self.changed.remove(&target);
         self.weights.forget(target);
     }
 
--- a/lib/tests/test_slow_targets.rs
+++ b/lib/tests/test_slow_targets.rs
@@ -21,7 +21,7 @@
     RoutedService, Routing, ServiceShare,
 };
 use hollyhead::segment::{Control, FlowEnds, Segment};
-use hollyhead::slow_targets::WEIGHT_VALIDITY;
+use hollyhead::slow_targets::{EVALUATION_INTERVAL, WEIGHT_VALIDITY};
 use hollyhead::target_weight::{WeightChange, WeightClass};
 use hollyhead::view::{Member, MemberState, View};
 use smol_str::format_smolstr;
@@ -585,24 +585,37 @@
     }
 }
 
-/// A target that was lowered starts again.
+/// A slow target whose weight fell twice starts again, before the second fall reached the other data
+/// centre.
 #[test]
 fn update_restarted_target_has_its_full_weight() {
-    let mut fleet = Fleet::new(2, 4, AIM);
-    let forwarder = &mut fleet.instances[1].forwarder;
-    let cookie = forwarder.targets().get(0).cookie;
-    let weight = AnnouncedWeight { cookie, class: WeightClass::Half };
-    forwarder.on_weight_report(&fleet.members[0], &[weight], fleet.now);
-    let mut registration = forwarder.targets().get(0).registration.clone();
-    assert_eq!(fleet.lowered_at(1).len(), 1);
+    let mut fleet = Fleet::new(4, 24, AIM);
+    fleet.slow.insert(0);
+    let is_quarter = |(_, _, change): &(_, _, WeightChange)| change.to == WeightClass::Quarter;
+    let mut time = Duration::ZERO;
+    while !fleet.changes.iter().any(is_quarter) {
+        assert!(time < seconds(20));
+        time += TICK;
+        fleet.run_until(time);
+    }
+    let mut registration = fleet.instances[0].forwarder.targets().get(0).registration.clone();
     registration.started = 2;
+    fleet.slow.clear();
+    fleet.held[0].clear();
     let name = registration.target.clone();
     let body = Some(RecordBody::Registration(registration));
-    let mut directory = directory(4, AIM, fleet.now);
+    let mut directory = directory(24, AIM, fleet.now);
     directory.merge(Part::Targets, vec![DirectoryRecord { name, version: 2, body }], fleet.now);
-    fleet.instances[1].forwarder.update(&directory, Part::Targets, fleet.now);
-    fleet.run_until(seconds(1));
-    assert_eq!(fleet.lowered_at(1), BTreeSet::new());
+    for instance in &mut fleet.instances {
+        instance.forwarder.update(&directory, Part::Targets, fleet.now);
+    }
+    for _ in 0..6 {
+        time += EVALUATION_INTERVAL * 2;
+        fleet.run_until(time);
+        for instance in 0..4 {
+            assert_eq!(fleet.lowered_at(instance), BTreeSet::new(), "at {instance}, {time:?}");
+        }
+    }
 }
 
 /// Three instances with links between them send 60 requests a second to six targets, one of which
