slow_targets, answer_reports: half as many reports, paced announcements

Cause: a busy collector sent 15,429 B/s at 300 instances, since each change and renewal went to all at once. Change: reports every 2 s for groups of 64 targets; announcements of at most 1,800 bytes in 500 ms, to the instances that waited longest; weights stay valid for 30 s. The test bounds the mean and the most. Conclusion: the busiest sender stays under 4 KB/s.

--- a/lib/src/answer_reports.rs
+++ b/lib/src/answer_reports.rs
@@ -18,15 +18,15 @@
 use crate::view::{Member, View};
 
 /// Time between two reports of an instance.
-pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Largest number of groups, and thus of datagrams, in each interval.
 pub const REPORTS_PER_INTERVAL: usize = 2;
 /// Largest number of targets in a datagram.
-pub const MAX_REPORTED_TARGETS: usize = 48;
+pub const MAX_REPORTED_TARGETS: usize = 64;
 /// Number of targets for which a data centre has one group.
-pub const TARGETS_PER_GROUP: usize = 32;
+pub const TARGETS_PER_GROUP: usize = 64;
 /// Age from which counts are no longer sent.
-pub const MAX_COUNT_AGE: Duration = Duration::from_secs(3);
+pub const MAX_COUNT_AGE: Duration = Duration::from_secs(6);
 /// Subject of the hash that assigns targets to groups.
 const GROUP_SUBJECT: &str = "answer-reports";
 
--- a/lib/src/slow_targets.rs
+++ b/lib/src/slow_targets.rs
@@ -17,6 +17,7 @@
 use crate::answer_counts::AnswerCounts;
 use crate::answer_outliers::{AnswerOutliers, ObservedAnswer};
 use crate::answer_reports::{wire_counts, AnswerReports, DueReport, REPORT_INTERVAL};
+use crate::collections::HashMap;
 use crate::directory_message::{AnnouncedWeight, DirectoryMessage, TargetAnswers};
 use crate::ids::{DataCentreId, InstanceId, ServiceId};
 use crate::target_table::TargetTable;
@@ -25,17 +26,22 @@
 
 /// Time between two evaluations of the collected counts.
 pub const EVALUATION_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which weights are announced to all instances again. In between, changes are announced
-/// within the data centre, whose instances send most flows to its targets.
+/// Time after which an instance is told the weights again, if the pace allows. Changes are announced
+/// before within the data centre, whose instances send most flows to its targets.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
-/// Time after which an announced weight expires. Two lost renewals do not end it, and a new collector
-/// has found out the same by then.
-pub const WEIGHT_VALIDITY: Duration = Duration::from_secs(10);
+/// Time after which an announced weight expires. It exceeds the time in which a collector tells 300
+/// instances.
+pub const WEIGHT_VALIDITY: Duration = Duration::from_secs(30);
 /// Largest share of a service's targets in use whose weight is lowered, in percent.
 pub const MAX_LOWERED_PERCENT: usize = 30;
-/// Largest number of instances that a collector announces weights to. Those in its own data centre
-/// come first, since they send most flows to the targets.
-pub const MAX_RECIPIENTS: usize = 320;
+/// Largest number of bytes of the announcements that follow an evaluation.
+const ANNOUNCED_BYTES: usize = 1_800;
+/// Bytes of a datagram without its weights: the envelope with the names of instances.
+const DATAGRAM_BYTES: usize = 64;
+/// Largest number of bytes of a weight in a datagram.
+const WEIGHT_BYTES: usize = 6;
+/// Factor by which instances of the collector's own data centre are told more often than others.
+const LOCAL_PRECEDENCE: u32 = 4;
 /// Largest number of weights in a datagram.
 const MAX_ANNOUNCED_TARGETS: usize = 64;
 
@@ -64,13 +70,15 @@
     weights: TargetWeights,
     /// Announced weights that are not full.
     in_force: BTreeMap<usize, WeightInForce>,
-    /// Changes since the last announcement to all instances.
-    changed: BTreeMap<usize, WeightClass>,
+    /// Targets whose weight rose to the full one, with the time, until all instances know.
+    raised: BTreeMap<usize, Instant>,
+    /// Times at which the other instances were last told the weights.
+    told_at: HashMap<InstanceId, Instant>,
     /// Targets whose weight in the target table is not full.
     applied: BTreeSet<usize>,
     reported_at: Option<Instant>,
     evaluated_at: Option<Instant>,
-    announced_at: Option<Instant>,
+    changed_at: Option<Instant>,
     messages: Vec<WeightMessage>,
     changes: Vec<WeightChange>,
 }
@@ -85,11 +93,12 @@
             reports: AnswerReports::default(),
             weights: TargetWeights::default(),
             in_force: BTreeMap::new(),
-            changed: BTreeMap::new(),
+            raised: BTreeMap::new(),
+            told_at: HashMap::default(),
             applied: BTreeSet::new(),
             reported_at: None,
             evaluated_at: None,
-            announced_at: None,
+            changed_at: None,
             messages: Vec::new(),
             changes: Vec::new(),
         }
@@ -153,6 +162,7 @@
                 from.data_centre == *data_centre || view.eligible_in(data_centre).next().is_none();
             if is_collector {
                 self.weights.adopt(target, weight.class);
+                self.raised.remove(&target);
                 self.put_in_force(target, weight.class, now);
             }
         }
@@ -162,7 +172,7 @@
     /// Forgets what is known of a target that started again.
     pub fn forget(&mut self, target: usize) {
         self.in_force.remove(&target);
-        self.changed.remove(&target);
+        self.raised.remove(&target);
         self.weights.forget(target);
     }
 
@@ -203,25 +213,26 @@
         let outliers = &self.outliers;
         let own_share = |service: &str| outliers.outlier_share(service, now);
         let changes = self.weights.evaluate(own_share, is_alone, now);
-        let changed: BTreeMap<_, _> = changes.iter().map(|it| (it.target, it.to)).collect();
+        for change in &changes {
+            self.changed_at = Some(now);
+            self.put_in_force(change.target, change.to, now);
+            if change.to == WeightClass::Full {
+                self.raised.insert(change.target, now);
+            } else {
+                self.raised.remove(&change.target);
+            }
+        }
         self.changes.extend(changes);
-        for (target, class) in &changed {
-            self.put_in_force(*target, *class, now);
+        self.raised.retain(|_, at| now < *at + WEIGHT_VALIDITY);
+        let raised = self.raised.keys().map(|target| (*target, WeightClass::Full));
+        let mut announced: BTreeMap<_, _> = raised.collect();
+        let lowered: Vec<_> = self.weights.lowered().collect();
+        for (target, class) in lowered {
+            self.put_in_force(target, class, now);
+            announced.insert(target, class);
         }
-        self.changed.extend(changed.clone());
-        let lowered: BTreeMap<_, _> = self.weights.lowered().collect();
-        let has_news = !lowered.is_empty() || !self.changed.is_empty();
-        if has_news && is_due(self.announced_at, RENEWAL_INTERVAL, now) {
-            self.announced_at = Some(now);
-            let mut announced = std::mem::take(&mut self.changed);
-            for (target, class) in lowered {
-                self.put_in_force(target, class, now);
-                announced.insert(target, class);
-            }
-            self.announce(&announced, view, targets, |_| true);
-        } else {
-            let data_centre = self.data_centre.clone();
-            self.announce(&changed, view, targets, |it| it.data_centre == data_centre);
+        if !announced.is_empty() {
+            self.announce(&announced, view, targets, now);
         }
     }
 
@@ -230,14 +241,11 @@
         weights: &BTreeMap<usize, WeightClass>,
         view: &View,
         targets: &TargetTable,
-        is_recipient: impl Fn(&Member) -> bool,
+        now: Instant,
     ) {
-        let others = view.members().iter().filter(|member| member.id != self.id);
-        let (near, far): (Vec<_>, Vec<_>) = others
-            .filter(|member| is_recipient(member))
-            .partition(|member| member.data_centre == self.data_centre);
-        let recipients = near.into_iter().chain(far).take(MAX_RECIPIENTS);
-        let to: Vec<_> = recipients.map(|member| member.peer).collect();
+        let datagrams = weights.len().div_ceil(MAX_ANNOUNCED_TARGETS);
+        let bytes = datagrams * DATAGRAM_BYTES + weights.len() * WEIGHT_BYTES;
+        let to = self.take_recipients(view, (ANNOUNCED_BYTES / bytes).max(1), now);
         if to.is_empty() {
             return;
         }
@@ -252,6 +260,36 @@
         }
     }
 
+    /// Returns the instances that are told the weights now, at most `count`: those that have waited
+    /// longest, where the time counts more within the data centre.
+    fn take_recipients(&mut self, view: &View, count: usize, now: Instant) -> Vec<SocketAddr> {
+        self.told_at.retain(|id, _| view.members().iter().any(|member| member.id == *id));
+        let mut due: Vec<_> = view
+            .members()
+            .iter()
+            .filter(|member| member.id != self.id && self.is_due_to_hear(member, now))
+            .map(|member| (self.waiting_time(member, now), member))
+            .collect();
+        due.sort_by_key(|(waiting_time, _)| std::cmp::Reverse(*waiting_time));
+        due.truncate(count);
+        let ids = due.iter().map(|(_, member)| (member.id.clone(), now));
+        self.told_at.extend(ids);
+        due.into_iter().map(|(_, member)| member.peer).collect()
+    }
+
+    fn is_due_to_hear(&self, member: &Member, now: Instant) -> bool {
+        let told_at = self.told_at.get(&member.id).copied();
+        let is_local = member.data_centre == self.data_centre;
+        is_due(told_at, RENEWAL_INTERVAL, now) || (is_local && told_at < self.changed_at)
+    }
+
+    fn waiting_time(&self, member: &Member, now: Instant) -> Duration {
+        let told_at = self.told_at.get(&member.id);
+        let waited = told_at.map_or(WEIGHT_VALIDITY, |at| now.saturating_duration_since(*at));
+        let is_local = member.data_centre == self.data_centre;
+        waited * if is_local { LOCAL_PRECEDENCE } else { 1 }
+    }
+
     fn class_in_force(&self, target: usize) -> WeightClass {
         self.in_force.get(&target).map_or(WeightClass::Full, |weight| weight.class)
     }
--- a/lib/src/target_weight.rs
+++ b/lib/src/target_weight.rs
@@ -46,7 +46,7 @@
 /// Evidence that raises a weight, as a logarithm: that of 11 answers in usual time in a row.
 pub const EVIDENCE_TO_RAISE: f64 = 5.0;
 /// Time without a report after which a target is forgotten.
-pub const REPORT_RETENTION: Duration = Duration::from_secs(4);
+pub const REPORT_RETENTION: Duration = Duration::from_secs(8);
 
 copy_type! {
     /// Weight of a target among the targets of its service.
--- a/lib/tests/test_answer_reports.rs
+++ b/lib/tests/test_answer_reports.rs
@@ -37,7 +37,7 @@
     (0..TARGETS).map(|target| (target, AnswerCounts::of_one(false))).collect()
 }
 
-/// One answer of each of 160 targets, in five groups.
+/// One answer of each of 160 targets, in three groups.
 #[test]
 fn take_due_reports_to_all_groups_in_turn() {
     let now = Instant::now();
--- a/lib/tests/test_slow_targets.rs
+++ b/lib/tests/test_slow_targets.rs
@@ -580,8 +580,8 @@
             "{instances} instances, {targets} targets: bytes a second, mean and most, {healthy:?}, \
              with slow targets {slow:?}"
         );
-        assert!(healthy.0 <= 300 && healthy.1 <= 800, "{healthy:?}");
-        assert!(slow.0 <= 900, "{slow:?}");
+        assert!(healthy.0 <= 150 && healthy.1 <= 300, "{healthy:?}");
+        assert!(slow.0 <= 600 && slow.1 < 4_000, "{slow:?}");
     }
 }
 
