target_weight: bounded counts, and a rise needs the evidence of others

Cause: one instance with false counts could raise weights, and its counts were not bounded. Change: at most 1,000 answers of a target in a report count; a quarter of the evidence that raises a weight comes from others than the strongest reporter. Tests of both and of the refusal of announcements from another data centre. Conclusion: one reporter alone neither lowers nor raises a weight. Open: false counts of slow answers for many targets still make a service look slow as a whole.

--- a/lib/src/target_weight.rs
+++ b/lib/src/target_weight.rs
@@ -45,6 +45,10 @@
 const EVIDENCE_OF_OTHERS: f64 = EVIDENCE_TO_LOWER / 2.0;
 /// Evidence that raises a weight, as a logarithm: that of 11 answers in usual time in a row.
 pub const EVIDENCE_TO_RAISE: f64 = 5.0;
+/// Part of [`EVIDENCE_TO_RAISE`] that must come from others than the strongest reporter.
+const RAISING_EVIDENCE_OF_OTHERS: f64 = EVIDENCE_TO_RAISE / 4.0;
+/// Largest number of answers of a target in a report that counts. One instance sees fewer of them.
+pub const MAX_REPORTED_ANSWERS: u32 = 1_000;
 /// Time without a report after which a target is forgotten.
 pub const REPORT_RETENTION: Duration = Duration::from_secs(8);
 
@@ -154,8 +158,8 @@
     fresh: BTreeMap<InstanceId, AnswerCounts>,
     /// Evidence that the target is slow, by reporter, since their sum was last zero.
     slow_evidence: BTreeMap<InstanceId, f64>,
-    /// Evidence that the target is as fast as others.
-    fast_evidence: f64,
+    /// Evidence that the target is as fast as others, by reporter, since their sum was last zero.
+    fast_evidence: BTreeMap<InstanceId, f64>,
 }
 
 /// Weights of the targets whose counts this instance collects.
@@ -183,10 +187,11 @@
             usual_share: MIN_USUAL_SHARE,
             fresh: BTreeMap::new(),
             slow_evidence: BTreeMap::new(),
-            fast_evidence: 0.0,
+            fast_evidence: BTreeMap::new(),
         };
         let collected = self.targets.entry(target).or_insert_with(new_target);
-        let counts = AnswerCounts { outliers: counts.outliers.min(counts.answers), ..counts };
+        let answers = counts.answers.min(MAX_REPORTED_ANSWERS);
+        let counts = AnswerCounts { answers, outliers: counts.outliers.min(answers) };
         collected.reported_at = now;
         collected.recent.add(counts, now);
         collected.fresh.entry(reporter.clone()).or_default().add(counts);
@@ -293,21 +298,26 @@
         let for_slow = AnswerEvidence::new(SLOW_TARGET_SHARE, self.usual_share);
         let for_still_slow = AnswerEvidence::new(STILL_SLOW_SHARE, self.usual_share);
         for (reporter, counts) in fresh {
-            *self.slow_evidence.entry(reporter).or_default() += for_slow.of(counts);
-            self.fast_evidence = (self.fast_evidence - for_still_slow.of(counts)).max(0.0);
+            *self.slow_evidence.entry(reporter.clone()).or_default() += for_slow.of(counts);
+            *self.fast_evidence.entry(reporter).or_default() -= for_still_slow.of(counts);
         }
         if self.slow_evidence.values().sum::<f64>() <= 0.0 {
             self.slow_evidence.clear();
         }
+        if self.fast_evidence.values().sum::<f64>() <= 0.0 {
+            self.fast_evidence.clear();
+        }
     }
 
     fn next_class(&self, is_alone: bool) -> WeightClass {
-        let slow_evidence: f64 = self.slow_evidence.values().sum();
-        let strongest = self.slow_evidence.values().copied().fold(0.0, f64::max);
-        let is_agreed = is_alone || slow_evidence - strongest >= EVIDENCE_OF_OTHERS;
-        if slow_evidence >= EVIDENCE_TO_LOWER && is_agreed {
+        let is_enough = |evidence: &BTreeMap<InstanceId, f64>, least: f64, of_others: f64| {
+            let sum: f64 = evidence.values().sum();
+            let strongest = evidence.values().copied().fold(0.0, f64::max);
+            sum >= least && (is_alone || sum - strongest >= of_others)
+        };
+        if is_enough(&self.slow_evidence, EVIDENCE_TO_LOWER, EVIDENCE_OF_OTHERS) {
             self.class.lowered()
-        } else if self.fast_evidence >= EVIDENCE_TO_RAISE {
+        } else if is_enough(&self.fast_evidence, EVIDENCE_TO_RAISE, RAISING_EVIDENCE_OF_OTHERS) {
             self.class.raised()
         } else {
             self.class
@@ -319,6 +329,6 @@
         self.class = class;
         self.fresh.clear();
         self.slow_evidence.clear();
-        self.fast_evidence = 0.0;
+        self.fast_evidence.clear();
     }
 }
--- a/lib/tests/test_slow_targets.rs
+++ b/lib/tests/test_slow_targets.rs
@@ -561,6 +561,19 @@
     assert!((fair * 15 / 100..=fair * 40 / 100).contains(&count(3)), "{} of {fair}", count(3));
 }
 
+/// Instances announce weights for a target of another data centre and for one of their own.
+#[test]
+fn on_weight_report_from_another_data_centre_is_refused() {
+    let mut fleet = Fleet::new(4, 24, AIM);
+    let cookie = fleet.instances[0].forwarder.targets().get(0).cookie;
+    let weights = [AnnouncedWeight { cookie, class: WeightClass::Quarter }];
+    for (from, lowered) in [(1, 0), (2, 0), (3, 1)] {
+        let from = fleet.members[from].clone();
+        fleet.instances[0].forwarder.on_weight_report(&from, &weights, fleet.now);
+        assert_eq!(fleet.lowered_at(0).len(), lowered, "from {}", from.id);
+    }
+}
+
 /// The usual load for each number of targets, first with healthy ones and then with 12 % slow ones.
 #[test]
 fn tick_bytes_are_bounded() {
--- a/lib/tests/test_target_weight.rs
+++ b/lib/tests/test_target_weight.rs
@@ -4,7 +4,9 @@
 
 use hollyhead::answer_counts::AnswerCounts;
 use hollyhead::ids::ServiceId;
-use hollyhead::target_weight::{TargetWeights, WeightClass, REPORT_RETENTION};
+use hollyhead::target_weight::{
+    TargetWeights, WeightClass, MAX_REPORTED_ANSWERS, REPORT_RETENTION,
+};
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
@@ -68,6 +70,31 @@
     }
 }
 
+/// A target was lowered, and one instance alone reports many answers in usual time.
+#[test]
+fn evaluate_finding_of_one_reporter_raises_nothing() {
+    let mut fixture = Fixture::new();
+    let mut falls = 0;
+    for round in 0..20 {
+        let others = if round < 2 { 9 } else { 6 };
+        fixture.report(0, 0, 10, if round < 2 { 9 } else { 0 });
+        fixture.report(0, 1, 10, others);
+        let changes = fixture.evaluate(0);
+        assert!(changes.iter().all(|(_, class)| *class != WeightClass::Full), "{changes:?}");
+        falls += changes.len();
+    }
+    assert!(falls > 0);
+}
+
+/// One instance reports a number of answers that none could see.
+#[test]
+fn record_answers_of_a_report_are_bounded() {
+    let mut fixture = Fixture::new();
+    fixture.report(0, 0, u32::MAX, u32::MAX);
+    let changes = fixture.weights.evaluate(|_| 0.0, true, fixture.now);
+    assert!(changes[0].sums.answers <= f64::from(MAX_REPORTED_ANSWERS));
+}
+
 /// The only instance of a deployment finds a target slow.
 #[test]
 fn evaluate_lone_instance_decides_by_itself() {
