--- a/lib/src/answer_counts.rs
+++ b/lib/src/answer_counts.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-/// Time after which a count has decayed to 37 %. A target gets some ten requests a second, of which
-/// enough fall into this time to tell a slow target from a few long requests.
+/// Time after which a count has decayed to 37 %. Of some ten requests a second that a target gets,
+/// about 30 count.
 pub const DECAY_TIME: Duration = Duration::from_secs(3);
 
 /// Numbers of answers of one target or service.
--- a/lib/src/answer_outliers.rs
+++ b/lib/src/answer_outliers.rs
@@ -6,7 +6,7 @@
 //! only counted here: [`crate::target_weight`] concludes from the counts of many instances. Targets
 //! of different data centres are kept apart, since the round trip is part of the time.
 //!
-//! An instance on a small machine is often kept from running, and then all answers seem slow. Answers
+//! An instance with few cores is often kept from running, and then all answers seem slow. Answers
 //! that overlap such a pause are left out, and so are those of a service whose answers are mostly
 //! slow here.
 
@@ -22,8 +22,8 @@
 
 /// Multiple of the typical time from which an answer is an outlier.
 pub const OUTLIER_FACTOR: u32 = 3;
-/// Least excess of an outlier over the typical time. It exceeds the delays of a machine that is busy
-/// but not kept from running.
+/// Least excess of an outlier over the typical time. It exceeds the delays of an instance that is
+/// busy but not kept from running.
 pub const MIN_EXCESS: Duration = Duration::from_millis(60);
 /// Share of a route's latency objective that an outlier exceeds at least, as a divisor. A shorter
 /// delay costs callers nothing.
