--- a/lib/src/answer_outliers.rs
+++ b/lib/src/answer_outliers.rs
@@ -35,9 +35,9 @@
 /// Time between two ticks from which the instance counts as having been kept from running.
 pub const MAX_TICK_GAP: Duration = Duration::from_millis(90);
 /// Share of slow answers of a service from which the fault is taken for the instance's own.
-const MAX_OWN_SHARE: f64 = 0.5;
+const MAX_LOCAL_OUTLIER_SHARE: f64 = 0.5;
 /// Recent answers from which the share of slow ones is meaningful.
-const MIN_OWN_ANSWERS: f64 = 4.0;
+const MIN_LOCAL_ANSWERS: f64 = 4.0;
 /// Time after which the typical time of a route without answers is forgotten.
 const TYPICAL_TIME_RETENTION: Duration = Duration::from_secs(60);
 
@@ -143,7 +143,7 @@
     fn is_slow_as_a_whole(&self, service: &str, now: Instant) -> bool {
         self.by_service.get(service).is_some_and(|recent| {
             let sums = recent.sums(now);
-            sums.answers >= MIN_OWN_ANSWERS && sums.outlier_share() > MAX_OWN_SHARE
+            sums.answers >= MIN_LOCAL_ANSWERS && sums.outlier_share() > MAX_LOCAL_OUTLIER_SHARE
         })
     }
 
--- a/lib/src/cookie_forwarder.rs
+++ b/lib/src/cookie_forwarder.rs
@@ -238,9 +238,9 @@
     /// Returns the verdict on a packet of a caller. Keeps a copy of the packet if it is held.
     pub fn on_packet(&mut self, segment: &Segment, packet: &[u8], now: Instant) -> CookieVerdict {
         if segment.control.opens {
-            self.open_flow(segment, packet, now)
+            self.on_opening_packet(segment, packet, now)
         } else {
-            self.forward_open(segment, now)
+            self.on_open_flow_packet(segment, now)
         }
     }
 
@@ -384,7 +384,7 @@
         self.targets.set_outages(|data_centre| out.contains(data_centre), now);
     }
 
-    fn forward_open(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
+    fn on_open_flow_packet(&mut self, segment: &Segment, now: Instant) -> CookieVerdict {
         if segment.cookie == 0 {
             return CookieVerdict::Drop(DropReason::NoCookie);
         }
--- a/lib/src/cookie_forwarder/openings.rs
+++ b/lib/src/cookie_forwarder/openings.rs
@@ -30,7 +30,7 @@
         self.release_openings(now);
     }
 
-    pub(super) fn open_flow(
+    pub(super) fn on_opening_packet(
         &mut self,
         segment: &Segment,
         packet: &[u8],
@@ -41,7 +41,7 @@
             self.release_openings_of(&service, now);
             return CookieVerdict::Hold;
         }
-        let opening = match self.opening(segment, now) {
+        let opening = match self.opening_of(segment, now) {
             Ok(opening) => opening,
             Err(verdict) => return verdict,
         };
@@ -52,7 +52,7 @@
             if self.admission.was_released(&segment.ends, HANDSHAKE_TIMEOUT, now)
                 && self.targets.get(last).accepts_new_flows()
             {
-                return self.forward_opening(segment, last, now);
+                return self.forward_to_chosen(segment, last, now);
             }
             // The failure makes the target suspected, so that a retransmission goes to another one.
             self.targets.health_mut(last).record_failure(now);
@@ -68,7 +68,7 @@
 
     /// Returns the opening that a packet asks for, or the verdict on the packet if its address has no
     /// route or the route has no service.
-    pub(super) fn opening(
+    pub(super) fn opening_of(
         &self,
         segment: &Segment,
         now: Instant,
@@ -89,7 +89,7 @@
             aim: route.aim,
             timeout: route.timeout,
             work: self.work.work(&route.name, service).unwrap_or_default(),
-            first_seen_at: first_transmission(segment, now),
+            first_sent_at: first_transmission(segment, now),
         })
     }
 
@@ -105,7 +105,7 @@
     /// Places the held openings whose route has changed, and rejects those whose route was removed.
     pub(super) fn release_rerouted_openings(&mut self, now: Instant) {
         for held in self.admission.take_held(now) {
-            let verdict = match self.opening(&held.segment, now) {
+            let verdict = match self.opening_of(&held.segment, now) {
                 Ok(opening) if has_same_route(&opening, &held) => {
                     self.admission.put_back(held);
                     continue;
@@ -157,7 +157,7 @@
         match self.choose_target(service, segment, now) {
             Some(index) => {
                 self.room_table.demand.record_opening(service, now);
-                self.forward_opening(segment, index, now)
+                self.forward_to_chosen(segment, index, now)
             }
             None => {
                 self.room_table.demand.record_refused(service, now);
@@ -187,7 +187,7 @@
         }
     }
 
-    pub(super) fn forward_opening(
+    pub(super) fn forward_to_chosen(
         &mut self,
         segment: &Segment,
         index: usize,
--- a/lib/src/demand_exchange.rs
+++ b/lib/src/demand_exchange.rs
@@ -5,9 +5,9 @@
 //! the others'. Each instance sends two small reports per second, whatever the size of the fleet, and
 //! fewer while there is room everywhere: by turns one to a random instance of its own data centre,
 //! with its own rates, and one to a random instance of another data centre. Both carry the sender's
-//! estimates of data centres, so that these spread epidemically. An estimate is an average of reports by distinct instances, so that a single wrong
-//! report changes it little. Its age is that of the reports behind it, so that it expires even while
-//! instances relay it to each other.
+//! estimates of data centres, so that these spread epidemically. An estimate is an average of
+//! reports by distinct instances, so that a single wrong report changes it little. Its age is that of
+//! the reports behind it, so that it expires even while instances relay it to each other.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -24,8 +24,8 @@
 pub const BUSY_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two reports while there is room everywhere, which spares the links.
 pub const CALM_REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
-/// Age above which an estimate of another data centre is not used, since one of its instances
-/// reported it.
+/// Age above which an estimate of another data centre is not used, counted from the report of one of
+/// its instances.
 pub const MAX_RATES_AGE: Duration = Duration::from_secs(8);
 /// Age above which the rates of another instance of the own data centre are not used.
 pub const MAX_INSTANCE_RATES_AGE: Duration = Duration::from_secs(3);
@@ -35,16 +35,17 @@
 pub const MAX_REPORTED_DATA_CENTRES: usize = 8;
 /// Number of the latest samples that an estimate is made of.
 const MAX_SAMPLES: usize = 5;
-/// Least number of samples of which any is capped, since two do not show which one is wrong.
+/// Number of samples from which outlying ones are capped. Of two, neither is known to be the wrong
+/// one.
 const MIN_CAPPED_SAMPLES: usize = 3;
-/// Time without a pause after which the own rates are complete.
+/// Time without a pause after which the own rates have reached 86 % of the truth and are passed on.
 pub const SETTLING_TIME: Duration = RATE_TIME_CONSTANT.saturating_mul(2);
 /// Time between two ticks from which an instance was suspended, and has missed requests.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Factor on the median at which a sample is capped before the mean is taken.
-const OUTLIER_FACTOR: f64 = 2.0;
-/// Rate up to which a sample is never capped, since few requests vary much.
-const OUTLIER_SLACK_PER_SECOND: f64 = 2.0;
+const CAP_FACTOR: f64 = 2.0;
+/// Rate up to which a sample is never capped, since counts of a few requests vary widely.
+const MIN_CAP_PER_SECOND: f64 = 2.0;
 /// Number of units of a rate on the wire per request per second.
 const WIRE_UNITS: f64 = 100.0;
 
@@ -394,7 +395,7 @@
     if values.len() < MIN_CAPPED_SAMPLES {
         return values.into_iter().sum::<f64>() / count;
     }
-    let cap = (median(values.clone()) * OUTLIER_FACTOR).max(OUTLIER_SLACK_PER_SECOND);
+    let cap = (median(values.clone()) * CAP_FACTOR).max(MIN_CAP_PER_SECOND);
     values.into_iter().map(|value| value.min(cap)).sum::<f64>() / count
 }
 
--- a/lib/src/flow_tracker.rs
+++ b/lib/src/flow_tracker.rs
@@ -70,9 +70,9 @@
 }
 
 impl AnswerTime {
-    /// Returns the time that the target needed for the request, waiting included: the response time
+    /// Returns the time that the request spent at the target, queue included: the response time
     /// without a round trip. `None` if the round trip is unknown.
-    pub fn work(&self) -> Option<Duration> {
+    pub fn time_at_target(&self) -> Option<Duration> {
         Some(self.response_time.saturating_sub(self.round_trip?))
     }
 }
--- a/lib/src/opening.rs
+++ b/lib/src/opening.rs
@@ -35,7 +35,7 @@
     pub work: Duration,
     /// Time at which the caller sent the first transmission of the opening packet, as far as this
     /// instance can tell from the copies that it got.
-    pub first_seen_at: Instant,
+    pub first_sent_at: Instant,
 }
 
 /// Rank of an opening among those that wait for the same service. The lowest goes first.
@@ -44,13 +44,13 @@
     precedence: u8,
     is_late: bool,
     slack_micros: i64,
-    first_seen_at: Instant,
+    first_sent_at: Instant,
 }
 
 impl Opening {
     /// Returns the time since the first transmission of the opening packet.
     pub fn waited(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.first_seen_at)
+        now.saturating_duration_since(self.first_sent_at)
     }
 
     /// Returns the time for which the opening can wait and meet its aim, from the first transmission
@@ -77,7 +77,7 @@
             precedence: self.precedence,
             is_late: slack_micros < 0,
             slack_micros,
-            first_seen_at: self.first_seen_at,
+            first_sent_at: self.first_sent_at,
         }
     }
 }
--- a/lib/src/outage_losses.rs
+++ b/lib/src/outage_losses.rs
@@ -28,7 +28,7 @@
     pub service: ServiceId,
     /// Number of dropped packets.
     pub packets: u64,
-    /// Number of flows whose first packet was dropped.
+    /// Number of flows that lost a packet for the first time in this outage.
     pub flows: u64,
 }
 
--- a/lib/src/reset_queue.rs
+++ b/lib/src/reset_queue.rs
@@ -15,6 +15,7 @@
 pub const MAX_RESETS_PER_SECOND: u64 = 10_000;
 /// Bytes that a reset takes on the link, headers of lower layers included.
 const RESET_WIRE_BYTES: u64 = 60;
+const MAX_BYTES_PER_SECOND: u64 = MAX_RESETS_PER_SECOND * RESET_WIRE_BYTES;
 /// Divisor that gives the rate of resets from the link's rate, so that the link keeps most of its
 /// capacity for packets.
 const LINK_RATE_DIVISOR: u64 = 4;
@@ -43,7 +44,7 @@
 
 impl Default for ResetQueue {
     fn default() -> Self {
-        let rate = MAX_RESETS_PER_SECOND * RESET_WIRE_BYTES;
+        let rate = MAX_BYTES_PER_SECOND;
         Self { queue: BTreeMap::new(), budget: ByteBudget::new(rate, rate / BURST_DIVISOR) }
     }
 }
@@ -52,8 +53,7 @@
     /// Sets the speed of the instance's link, in megabits per second.
     pub fn set_link_mbps(&mut self, link_mbps: f64) {
         let link_rate = (link_mbps * BYTES_PER_MEGABIT) as u64 / LINK_RATE_DIVISOR;
-        let max_rate = MAX_RESETS_PER_SECOND * RESET_WIRE_BYTES;
-        self.budget.set_rate(link_rate.clamp(RESET_WIRE_BYTES, max_rate));
+        self.budget.set_rate(link_rate.clamp(RESET_WIRE_BYTES, MAX_BYTES_PER_SECOND));
     }
 
     /// Adds a flow. A flow that is in the queue already is not added again.
@@ -70,7 +70,7 @@
         Some(QueuedReset { ends, since, target })
     }
 
-    /// Charges a reset that was sent to the rate.
+    /// Counts a sent reset against the rate.
     pub fn record_sent(&mut self) {
         self.budget.spend(RESET_WIRE_BYTES);
     }
--- a/lib/src/room.rs
+++ b/lib/src/room.rs
@@ -10,7 +10,8 @@
 pub struct DataCentreRoom {
     /// Data centre of the targets and of the callers.
     pub data_centre: DataCentreId,
-    /// Slots of the targets that take new flows and are neither cold nor down.
+    /// Slots of the targets that take new flows and are neither cold nor down; those of a target with
+    /// a lower weight count by its weight.
     pub slots: u32,
     /// Requests per second of the data centre's callers; `None` if the figure is missing or out of
     /// date.
--- a/lib/src/room_table.rs
+++ b/lib/src/room_table.rs
@@ -2,7 +2,7 @@
 //! each data centre.
 //!
 //! Load pattern: targets are replaced, emptied and lost while callers keep their data centres, so
-//! room and demand of a data centre part within a second. The table is recomputed by a pass over all
+//! room of a data centre can fall far below its demand within a second. The table is recomputed by a pass over all
 //! targets, at most every [`MIN_PASS_INTERVAL`] and never per packet. The interval grows with the
 //! number of targets, so that the passes take a bounded share of the processor.
 
@@ -107,20 +107,22 @@
 }
 
 /// Returns the slots by data centre of those targets that take new flows and are neither cold nor
-/// down.
+/// down. Those of a target with a lower weight count by its weight.
 fn slots<'a>(
     targets: &'a TargetTable,
     indices: &[usize],
     now: Instant,
 ) -> BTreeMap<&'a DataCentreId, u32> {
-    let mut slots: BTreeMap<&DataCentreId, u32> = BTreeMap::new();
+    let mut per_mille: BTreeMap<&DataCentreId, u64> = BTreeMap::new();
     for entry in indices.iter().map(|index| targets.get(*index)) {
         if entry.accepts_new_flows() && !entry.is_cold(now) && !entry.health().is_down() {
-            let usable = entry.registration.slots * entry.weight().per_mille() / 1_000;
-            *slots.entry(&entry.registration.data_centre).or_default() += usable;
+            let weight = u64::from(entry.weight().per_mille());
+            let slots = u64::from(entry.registration.slots) * weight;
+            *per_mille.entry(&entry.registration.data_centre).or_default() += slots;
         }
     }
-    slots
+    let whole = |slots: u64| u32::try_from(slots / 1_000).unwrap_or(u32::MAX);
+    per_mille.into_iter().map(|(name, slots)| (name, whole(slots))).collect()
 }
 
 /// Combines slots and demand. A data centre without instances and without targets has no callers
--- a/lib/src/route_work.rs
+++ b/lib/src/route_work.rs
@@ -3,8 +3,11 @@
 //!
 //! Load pattern: answer times contain the queue of a busy target, and a few requests take several
 //! times as long as the others. A low quantile over a long window is little affected by either. A
-//! full target answers after about as long as its queue takes, so that the time does not tell its
-//! answers from others; they are far shorter than the usual answers of a route.
+//! full target turns a request away only after about as long as its queue takes, so the answer time
+//! does not show it. Its answers have far fewer bytes than the usual ones of the route.
+//!
+//! This is what a typical request needs, and serves to judge whether an opening can still be
+//! answered in time. The mean work, from which capacity follows, is in [`crate::service_demand`].
 
 use std::time::Duration;
 
@@ -30,7 +33,7 @@
 /// histograms.
 const ESTIMATE_PERIOD: u64 = 16;
 const MAX_WORK_MICROS: u64 = 60_000_000;
-const MAX_LENGTH: u64 = 1 << 24;
+const MAX_LENGTH_BYTES: u64 = 1 << 24;
 /// One significant digit keeps a histogram near 1 KB, and its error is far below the spread of the
 /// samples.
 const SIGNIFICANT_DIGITS: u8 = 1;
@@ -71,7 +74,7 @@
             return Answer::TurnedAway;
         }
         self.lengths.entry(route.clone()).or_insert_with(Samples::of_length).record(length);
-        if let Some(work) = answer.work() {
+        if let Some(work) = answer.time_at_target() {
             let micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
             self.routes.entry(route.clone()).or_insert_with(Samples::of_work).record(micros);
             self.services.entry(service.clone()).or_insert_with(Samples::of_work).record(micros);
@@ -88,7 +91,7 @@
 
     /// Returns the work of a request of a service, over all of its routes; `None` while there are
     /// too few samples.
-    pub fn service_work(&self, service: &str) -> Option<Duration> {
+    fn service_work(&self, service: &str) -> Option<Duration> {
         self.services.get(service).and_then(Samples::work)
     }
 
@@ -124,7 +127,7 @@
     }
 
     fn of_length() -> Self {
-        Self::new(LENGTH_QUANTILE, MAX_LENGTH)
+        Self::new(LENGTH_QUANTILE, MAX_LENGTH_BYTES)
     }
 
     fn new(quantile: f64, max: u64) -> Self {
--- a/lib/src/routing_check.rs
+++ b/lib/src/routing_check.rs
@@ -28,7 +28,7 @@
     pub enum Severity {
         /// Instances refuse the document, ignore the entry or never use it.
         Error,
-        /// Instances use the entry, though hardly as it was meant.
+        /// Instances use the entry, although it is probably a mistake.
         Warning,
     }
 }
@@ -287,12 +287,16 @@
         if let Some(by) = taken_by(&table, route) {
             report(Problem::AddressTaken { address: route.address, by });
         }
-        check_targets(route, &listed, &mut report);
-        check_times(route, routing.limits.idle_timeout, &mut report);
+        check_route_services(route, &listed, &mut report);
+        check_route_times(route, routing.limits.idle_timeout, &mut report);
     }
 }
 
-fn check_targets(route: &Route, listed: &HashSet<&ServiceId>, report: &mut impl FnMut(Problem)) {
+fn check_route_services(
+    route: &Route,
+    listed: &HashSet<&ServiceId>,
+    report: &mut impl FnMut(Problem),
+) {
     if route.services.is_empty() {
         report(Problem::NoService);
     } else if route.services.iter().all(|share| share.weight == 0) {
@@ -305,7 +309,7 @@
     }
 }
 
-fn check_times(route: &Route, idle_timeout: Duration, report: &mut impl FnMut(Problem)) {
+fn check_route_times(route: &Route, idle_timeout: Duration, report: &mut impl FnMut(Problem)) {
     let Route { aim, timeout, .. } = *route;
     if timeout.is_zero() {
         report(Problem::NoTimeout);
--- a/lib/src/scarce_room.rs
+++ b/lib/src/scarce_room.rs
@@ -24,8 +24,8 @@
 /// Longest time from the first transmission of an opening for which it is held. The caller gives
 /// the attempt up after 1.4 s, and the flow has to open and run before.
 pub const MAX_HOLD_TIME: Duration = Duration::from_millis(800);
-/// Shortest limit on the time for which an opening is held; held openings are released in steps of
-/// tens of milliseconds.
+/// Shortest limit on the time for which an opening is held; a shorter hold
+/// could end before the next tick of the forwarder looks at the opening.
 const MIN_HOLD_TIME: Duration = Duration::from_millis(60);
 /// Part of the slack of a request for which one of its attempts is held, as a divisor. The caller
 /// has three attempts, and a request that was held for its whole slack would be answered late and
@@ -42,28 +42,29 @@
 const AMPLE_DEMAND_SHARE: f64 = 1.03;
 /// Share of requests of all instances turned away by full targets from which room counts as scarce.
 const SCARCE_TURNED_AWAY_SHARE: f64 = 0.1;
-/// Share among the recent answers at this instance from which room counts as scarce. They are few,
-/// so a smaller share may be chance.
+/// Share of requests turned away among the recent answers at this instance from which room counts as
+/// scarce. The answers are few, so a smaller share may be chance.
 const SCARCE_RECENT_SHARE: f64 = 0.3;
 /// Share of requests turned away by full targets below which room no longer counts as scarce.
 const AMPLE_TURNED_AWAY_SHARE: f64 = 0.05;
 /// Share of requests turned away from which the limit follows what the targets serve. An urgent
 /// request that is turned away once is served on its next attempt.
 const EXCESSIVE_TURNED_AWAY_SHARE: f64 = 0.2;
-/// Part of the limit by which it may rise in a second after it was lowered. Targets that were full
+/// Growth of the limit per second after it was lowered, as a multiple of the limit. Targets that were full
 /// for a moment serve as much as before soon after.
 const LIMIT_GROWTH_PER_SECOND: f64 = 2.0;
 /// Part of the capacity below which the limit is never lowered.
 const MIN_LIMIT_SHARE: f64 = 0.7;
-/// Lowest rate of one instance, in requests per second, which serves callers that arrive before
-/// the figure of their share does.
+/// Lowest rate of one instance, in requests per second, so that an instance whose share is still
+/// counted as 0 places some openings.
 const MIN_RATE: f64 = 1.0;
-/// Time for which unused room is kept.
+/// Size of the token bucket, as time at the rate: room that was not used for longer is lost.
 const BURST_TIME: Duration = Duration::from_millis(150);
 /// Time by which openings may run ahead of the rate for each less urgent precedence that is in use.
 /// The queues of the targets absorb it.
 const OVERDRAFT_TIME: Duration = Duration::from_millis(100);
-/// Least number of requests that an opening may run ahead for each less urgent precedence.
+/// Least number of requests by which openings may run ahead of the rate for each less urgent
+/// precedence.
 const MIN_OVERDRAFT: f64 = 3.0;
 /// Largest number of less urgent precedences that count for an overdraft, which bounds it to 0.3 s
 /// of the rate.
@@ -180,7 +181,9 @@
     fn record_request(&mut self, service: &ServiceId, room: Option<&ServiceRoom>, now: Instant) {
         if let Some(pace) = self.pace(service, room, now) {
             let lowest = -pace.overdraft_step();
-            pace.balance = pace.balance.min((pace.balance - 1.0).max(lowest));
+            if pace.balance > lowest {
+                pace.balance = (pace.balance - 1.0).max(lowest);
+            }
         }
     }
 }
@@ -198,20 +201,20 @@
     /// Requests that this instance may place now; negative after some ran ahead of the rate.
     balance: f64,
     updated_at: Instant,
-    answers: RecentAnswers,
+    answers: TurnedAwayAverage,
     precedences: BTreeMap<u8, Precedence>,
 }
 
 /// Average over the recent answers to requests that this instance placed. It shows full targets
 /// earlier than the figures of all instances.
 #[derive(Clone, Copy, Debug, Default)]
-struct RecentAnswers {
+struct TurnedAwayAverage {
     turned_away_share: f64,
     count: u32,
     last_at: Option<Instant>,
 }
 
-impl RecentAnswers {
+impl TurnedAwayAverage {
     fn record(&mut self, answer: Answer, now: Instant) {
         if !self.is_recent(now) {
             *self = Self::default();
@@ -256,7 +259,7 @@
             rate: 0.0,
             balance: 0.0,
             updated_at: now,
-            answers: RecentAnswers::default(),
+            answers: TurnedAwayAverage::default(),
             precedences: BTreeMap::new(),
         }
     }
--- a/lib/src/service_demand.rs
+++ b/lib/src/service_demand.rs
@@ -24,7 +24,8 @@
 const BLOCK_ANSWERS: usize = 32;
 /// Number of latest blocks from which the work of a request is estimated.
 const MAX_BLOCKS: usize = 16;
-/// Age from which a block is left out.
+/// Age from which a block is dropped when the next one is complete. Without answers the last estimate
+/// stays.
 const MAX_BLOCK_AGE: Duration = Duration::from_secs(60);
 /// Median of a block relative to the least one, from which its answers are taken to include waiting
 /// in the queues of busy targets.
@@ -160,7 +161,7 @@
         now: Instant,
     ) {
         let rates = self.rates(service);
-        match (kind, answer.work()) {
+        match (kind, answer.time_at_target()) {
             (Answer::TurnedAway, _) => rates.turned_away.record(now),
             (Answer::Served, Some(time)) => rates.work.record(time, now),
             (Answer::Served, None) => {}
--- a/lib/src/slow_targets.rs
+++ b/lib/src/slow_targets.rs
@@ -41,7 +41,7 @@
 /// Largest number of bytes of a weight in a datagram.
 const WEIGHT_BYTES: usize = 6;
 /// Factor by which instances of the collector's own data centre are told more often than others.
-const LOCAL_PRECEDENCE: u32 = 4;
+const LOCAL_WAIT_FACTOR: u32 = 4;
 /// Largest number of weights in a datagram.
 const MAX_ANNOUNCED_TARGETS: usize = 64;
 
@@ -211,8 +211,8 @@
     fn evaluate(&mut self, view: &View, targets: &TargetTable, now: Instant) {
         let is_alone = view.members().iter().all(|member| member.id == self.id);
         let outliers = &self.outliers;
-        let own_share = |service: &str| outliers.outlier_share(service, now);
-        let changes = self.weights.evaluate(own_share, is_alone, now);
+        let local_outlier_share = |service: &str| outliers.outlier_share(service, now);
+        let changes = self.weights.evaluate(local_outlier_share, is_alone, now);
         for change in &changes {
             self.changed_at = Some(now);
             self.put_in_force(change.target, change.to, now);
@@ -287,7 +287,7 @@
         let told_at = self.told_at.get(&member.id);
         let waited = told_at.map_or(WEIGHT_VALIDITY, |at| now.saturating_duration_since(*at));
         let is_local = member.data_centre == self.data_centre;
-        waited * if is_local { LOCAL_PRECEDENCE } else { 1 }
+        waited * if is_local { LOCAL_WAIT_FACTOR } else { 1 }
     }
 
     fn class_in_force(&self, target: usize) -> WeightClass {
--- a/lib/src/spillover.rs
+++ b/lib/src/spillover.rs
@@ -88,10 +88,14 @@
     let others = || loads.iter().filter(|it| it.data_centre != local);
     let destinations = others().filter(|it| free(it) > 0.0);
     let destinations: Vec<_> = destinations.map(|it| (it.data_centre.clone(), free(it))).collect();
-    let share_of = |slots: f64| match own.busy > 0.0 {
-        _ if own.slots == 0.0 => 1.0,
-        true => (slots / own.busy).clamp(0.0, 1.0),
-        false => 0.0,
+    let share_of = |slots: f64| {
+        if own.slots == 0.0 {
+            1.0
+        } else if own.busy > 0.0 {
+            (slots / own.busy).clamp(0.0, 1.0)
+        } else {
+            0.0
+        }
     };
     let share = share_of(-free(own));
     let is_sent = share >= MIN_SHARE && !destinations.is_empty();
--- a/lib/src/target_weight.rs
+++ b/lib/src/target_weight.rs
@@ -211,12 +211,12 @@
         self.targets.remove(&target);
     }
 
-    /// Changes the weights that the counts call for, each by one step. `own_share` returns the share
+    /// Changes the weights that the counts call for, each by one step. `local_outlier_share` returns the share
     /// of slow answers of a service that this instance observed itself; `is_alone` is whether no
     /// other instance could report.
     pub fn evaluate(
         &mut self,
-        own_share: impl Fn(&str) -> f64,
+        local_outlier_share: impl Fn(&str) -> f64,
         is_alone: bool,
         now: Instant,
     ) -> Vec<WeightChange> {
@@ -227,7 +227,7 @@
             let others = total.minus(collected.recent.sums(now));
             let is_known = others.answers >= MIN_USUAL_ANSWERS;
             let others_share = if is_known { others.outlier_share() } else { 0.0 };
-            let share = others_share.max(own_share(&collected.service));
+            let share = others_share.max(local_outlier_share(&collected.service));
             collected.usual_share = (share * USUAL_SHARE_FACTOR).max(MIN_USUAL_SHARE);
             collected.add_evidence();
         }
@@ -236,7 +236,7 @@
         for (target, collected) in &mut self.targets {
             let may_fall = !slow_services.contains(&collected.service);
             let (from, to) = (collected.class, collected.next_class(is_alone));
-            if to == from || (to > from && !may_fall) {
+            if to == from || (to.per_mille() < from.per_mille() && !may_fall) {
                 continue;
             }
             changes.push(WeightChange {
--- a/lib/tests/test_opening_queue.rs
+++ b/lib/tests/test_opening_queue.rs
@@ -24,7 +24,7 @@
         aim: Duration::from_millis(aim),
         timeout: Duration::from_secs(2),
         work: Duration::ZERO,
-        first_seen_at: at,
+        first_sent_at: at,
     };
     HeldOpening { opening, segment: opening_segment(ends(caller), 0), datagram: vec![0; 32] }
 }
@@ -69,7 +69,7 @@
     assert_eq!(queue.replace_copy(&opening_segment(ends(1), 1), &[1]), Some("desk".into()));
     let held = queue.take_in_order(now);
     assert_eq!((held.len(), held[0].segment.ack, &held[0].datagram[..]), (1, 1, &[1_u8][..]));
-    assert_eq!(held[0].opening.first_seen_at, now);
+    assert_eq!(held[0].opening.first_sent_at, now);
 }
 
 /// Load: more openings, or larger ones, than the queue holds.
--- a/lib/tests/test_scarce_room.rs
+++ b/lib/tests/test_scarce_room.rs
@@ -180,7 +180,7 @@
                 let instance = self.random.below(self.instances.len() as u64) as usize;
                 self.release(at, instance);
                 let (opening, segment) = self.opening(at, request);
-                let now = opening.first_seen_at;
+                let now = opening.first_sent_at;
                 match self.instances[instance].admit(
                     opening,
                     (&segment, &[]),
@@ -250,7 +250,7 @@
             aim: if is_ranked { Duration::from_millis(aim) } else { Duration::ZERO },
             timeout: if is_ranked { Duration::from_secs(2) } else { Duration::ZERO },
             work: Duration::from_millis(work),
-            first_seen_at: self.start + Duration::from_micros(at),
+            first_sent_at: self.start + Duration::from_micros(at),
         };
         let control = Control { opens: true, ..Control::default() };
         (opening, Segment { ends, control, seq: 0, ack: 0, data_len: 0, cookie: 0 })
@@ -427,7 +427,7 @@
         aim: Duration::from_millis(aim),
         timeout: Duration::from_secs(2),
         work: Duration::from_millis(36),
-        first_seen_at: at,
+        first_sent_at: at,
     }
 }
 
