--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -219,8 +219,12 @@
             "sequence": self.sequence, "born": self.born})
 
     async def register(self):
-        self.sequence += 1
-        return await self.world.store.put("servers", self.id, self.spec(), 3 * HEARTBEAT_S)
+        """Writes the entry. It changes only when more than `sequence` changes."""
+        spec, self.sequence = self.spec(), self.sequence + 1
+        known = self.world.store.objects.get(("servers", self.id))
+        if known and without_sequence(known[0]) == without_sequence(spec):
+            spec = known[0]
+        return await self.world.store.put("servers", self.id, spec, 3 * HEARTBEAT_S)
 
     async def beat(self):
         while True:
@@ -309,6 +313,10 @@
         self.transport.sendto(raw, (caller[0], self.world.flow_port))
 
 
+def without_sequence(spec):
+    return {name: value for name, value in json.loads(spec).items() if name != "sequence"}
+
+
 def request_id(data):
     for line in data.split(b"\r\n"):
         if line.lower().startswith(b"x-request-id:"):
