--- a/review/3/case.py
+++ b/review/3/case.py
@@ -37,9 +37,9 @@
     while last_watch(world, "evacuations") == seen:
         await asyncio.sleep(0.01)
     began, reader = last_watch(world, "evacuations")[:2]
-    await asyncio.sleep(began + WATCH_CYCLE_S - 0.75 - now())
+    await asyncio.sleep(began + WATCH_CYCLE_S - 0.50 - now())
     await world.add_target("srv-0a3", "desk", "a", 102)
-    await asyncio.sleep(began + WATCH_CYCLE_S - 0.40 - now())
+    await asyncio.sleep(began + WATCH_CYCLE_S - 0.28 - now())
     routes[0] = routes[0][:4] + (2100,) + routes[0][5:]
     await world.store.put("config", "main", json.dumps(config(9, routes, services)))
     await asyncio.sleep(began + WATCH_CYCLE_S + 0.10 - now())
