--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -686,6 +686,7 @@
 def main(case, folder, limit_s=110):
     """Runs `case(world)`, which returns whether the rule held, and exits with 0, 1 or 2."""
     status, world = 2, None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # still ends what was started
     try:
         world = World(folder)
         loop = asyncio.new_event_loop()
