--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -175,12 +175,12 @@
 class Target(asyncio.DatagramProtocol):
     """A target: holds flows, runs requests in `slots` places, answers its health check."""
 
-    def __init__(self, record, ident, service, zone, slots=2, work=0.02, cold_per_s=None):
+    def __init__(self, record, ident, service, zone, slots=2, work=0.02, room=8):
         self.record, self.ident, self.service, self.zone = record, ident, service, zone
-        self.slots, self.work, self.cold_left_ms = slots, work, 0
+        self.slots, self.work, self.room, self.cold_left_ms = slots, work, room, 0
         self.token = int(re.sub("[^0-9a-f]", "", ident.rsplit("-", 1)[-1]), 16)
         self.flows, self.running, self.queue = {}, 0, []
-        self.openings, self.runs, self.foreign = [], [], 0
+        self.openings, self.runs, self.foreign, self.shed = [], [], 0, 0
         self.opened_at = {}
         self.state, self.sequence = "ready", 0
         self.born = int(time.time() * 1000)
@@ -248,8 +248,13 @@
         if packet.data:
             if packet.seq == flow["next"]:
                 flow["next"] = (flow["next"] + len(packet.data)) & 0xFFFFFFFF
-                self.queue.append((key, packet.seq, packet.data))
-                self.begin()
+                if len(self.queue) < self.room:
+                    self.queue.append((key, packet.seq, packet.data))
+                    self.begin()
+                else:
+                    self.shed += 1
+                    self.answer(key, packet.seq, b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                                b"Content-Length: 0\r\n\r\n")
             elif packet.seq in flow["sent"]:
                 self.send_answer(key, packet.seq)
             self.reply(to, ACK, flow["mine"], flow["next"], flow["echo"])
@@ -270,14 +275,16 @@
         await asyncio.sleep(self.work)
         self.running -= 1
         self.begin()
-        flow = self.flows.get(key)
-        if flow is None:
+        if key not in self.flows:
             return
-        body = f"{ident} at {self.ident} ".encode() * 8
-        head = (f"HTTP/1.1 200 OK\r\nX-Response-Signature: {self.ident}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n").encode()
-        flow["sent"][seq] = (flow["mine"], head + body)
-        flow["mine"] = (flow["mine"] + len(head) + len(body)) & 0xFFFFFFFF
+        body = f"{ident} at {self.ident} ".encode().ljust(600, b".")
+        self.answer(key, seq, f"HTTP/1.1 200 OK\r\nX-Response-Signature: {self.ident}\r\n"
+                              f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def answer(self, key, seq, data):
+        flow = self.flows[key]
+        flow["sent"][seq] = (flow["mine"], data)
+        flow["mine"] = (flow["mine"] + len(data)) & 0xFFFFFFFF
         self.send_answer(key, seq)
 
     def send_answer(self, key, seq):
@@ -323,9 +330,13 @@
             state = "in" if not was else "out of"
             self.record.line(f"router: {instance.name} is {state} rotation")
 
-    def pick(self, key):
-        rotation = [it for it in self.instances if self.ready.get(it.name)]
-        rotation = rotation if 2 * len(rotation) >= len(self.instances) else list(self.instances)
+    def pick(self, key, zone):
+        nodes = [it for it in self.instances if it.zone == zone]
+        rotation = [it for it in nodes if self.ready.get(it.name)]
+        if not rotation:
+            rotation = [it for it in self.instances if self.ready.get(it.name)]
+        if not rotation or 0 < 2 * len([it for it in nodes if it in rotation]) < len(nodes):
+            rotation = nodes
         number = key[0] * 31 + key[1] * 2654435761 + key[2] * 17 + key[3]
         return rotation[(number ^ number >> 13) % len(rotation)] if rotation else None
 
@@ -333,8 +344,8 @@
 class ClientHost(asyncio.DatagramProtocol):
     """Clients behind one address, which differ in their ports."""
 
-    def __init__(self, record, router):
-        self.record, self.router = record, router
+    def __init__(self, record, router, zone):
+        self.record, self.router, self.zone = record, router, zone
         self.flows, self.ports = {}, itertools.count(20000)
 
     async def start(self, ip):
@@ -354,8 +365,8 @@
 class Flow:
     """A client's end of a flow. Each request and each answer takes one packet."""
 
-    def __init__(self, host, service, via=None):
-        self.host, self.service, self.via = host, service, via
+    def __init__(self, host, service):
+        self.host, self.service = host, service
         self.port = next(host.ports)
         host.flows[self.port] = self
         self.key = (ip_number(host.ip), self.port, ip_number(service[0]), service[1])
@@ -366,7 +377,7 @@
         self.copies = 0
 
     def send(self, flags, seq, ack, data=b""):
-        node = self.via or self.host.router.pick(self.key)
+        node = self.host.router.pick(self.key, self.host.zone)
         if node:
             src, sport, dst, dport = self.key
             packet = Packet(src, sport, dst, dport, flags, seq, ack, self.echo, data)
@@ -523,7 +534,7 @@
         base = random.randrange(10, 200)
         self.net = f"127.{base}"
         ips = [f"{self.net}.0.{11 + n}" for n in range(instances)]
-        clients = [f"{self.net}.1.{1 + n}" for n in range(4)]
+        clients = [f"{self.net}.1.{1 + n}" for n in range(len(zones))]
         CLIENT_PORT[0] = free_port(ips + clients)
         self.admin_port, self.peer_port = CLIENT_PORT[0], CLIENT_PORT[0]
         while len({CLIENT_PORT[0], self.admin_port, self.peer_port}) < 3:
@@ -539,8 +550,8 @@
         self.store = Store(self.record)
         await self.store.start(f"{self.net}.3.1")
         self.router = Router(self.record, self.instances)
-        self.clients = [await ClientHost(self.record, self.router).start(ip)
-                        for ip in self.client_ips]
+        self.clients = [await ClientHost(self.record, self.router, zone).start(ip)
+                        for ip, zone in zip(self.client_ips, self.zones)]
 
     def spawn(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
