Review case 7: the client judges the number of a reset

Cause: a reset of an open flow has to be near the client's last acknowledgement. Change: the stand-in client ignores other resets, and the case counts only those that end a flow.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -70,9 +70,9 @@
     broken = 0
     for number, (answered, failed, resets) in enumerate(results):
         d.record.line(f"client {number}: {answered} answered, {failed} not answered")
-        for flow, (at, by, sender, state) in resets:
+        for flow, (at, by, sender, state, valid) in resets:
             target = next((t for t in targets if flow.key in t.opened_at), None)
-            counts = by == "system" and state == "open" and target is not None
+            counts = by == "system" and state == "open" and valid and target is not None
             broken += counts
             d.record.line(f"  reset at {at:.3f} by the {by}, from {sender}, flow {state}, opened at "
                           f"{flow.opened_at:.3f} at {target.ident if target else None}")
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -25,6 +25,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 SYN, ACK, FIN, RST = 1, 16, 128, 32
 HEAD = struct.Struct("<IIHHIIIBBHI")
+RESET_WINDOW = 76_800
 SUM = 0xA1B2C3D4  # the key of the sum is not disclosed; the two ends share this constant
 START = time.monotonic()
 
@@ -387,8 +388,12 @@
     def receive(self, packet, sender):
         if packet.flags & RST:
             by = "system" if packet.sum == 0 else "target"
-            self.resets.append((now(), by, sender[0], self.state))
-            if self.state in ("opening", "open"):
+            # "Its `seq` is within 76,800 of the client's last `ack`, or may be any value while the
+            # flow is not open." A reset that isn't does not end the flow.
+            distance = (packet.seq - self.peer) & 0xFFFFFFFF if self.state == "open" else 0
+            valid = by == "target" or min(distance, 2**32 - distance) <= RESET_WINDOW
+            self.resets.append((now(), by, sender[0], self.state, valid))
+            if self.state in ("opening", "open") and valid:
                 self.state = "reset"
         elif packet.flags & SYN and self.state == "opening":
             self.echo, self.peer = packet.echo, (packet.seq + 1) & 0xFFFFFFFF
