--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,8 +11,8 @@
 ADDRESS = ("198.18.0.1", 8080)
 ZONES = ("horn-east-a", "horn-east-b", "horn-east-c")
 INSTANCES, TARGETS = 8, 3
-FLOWS_PER_S = 100
-COLD_PER_S, COLD_START_S = 4.0, 2.0
+FLOWS_PER_S = 200
+COLD_PER_S, COLD_START_S = 10.0, 2.0
 MULTIPLIER, SLACK = 1.5, 5  # as on the sheets
 LIMIT = COLD_PER_S * MULTIPLIER + SLACK
 EVACUATED_S = 8.0  # as in the site file
